--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,34 @@
+// The invoker's configuration: read, checked and given its defaults here and nowhere else.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+#include "robinfold/policy.h"
+
+namespace lotusyard::config {
+
+// Its message names the faulty key.
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name, listen, changelog;
+  std::uint64_t seed = 0;
+  std::size_t memory_mb = 192, sockets = 1024;
+  std::uint64_t known_seq = 0;
+  nlohmann::json known_events = nlohmann::json::array();
+  robinfold::Settings settings;
+  robinfold::Millis connection_idle{15000};
+  std::size_t attempts_a_link = 32;
+  std::vector<std::string> report_fields;
+};
+
+// `listen` and `name` come from the environment where the file has none.
+Config read_config(const nlohmann::json& file, const std::string& name, const std::string& listen);
+nlohmann::json read_json_file(const std::string& path);  // throws ConfigError
+
+}  // namespace lotusyard::config
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,13 @@
+// The start-up settings, under the names of the wire page: read here for the adapter and for the invoker.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+
+#include "robinfold/policy.h"
+
+namespace lotusyard::config {
+
+robinfold::Settings read_settings(const nlohmann::json& env, std::uint64_t seed);
+
+}  // namespace lotusyard::config
--- /dev/null
+++ b/src/core/dispatcher.cpp
@@ -0,0 +1,186 @@
+#include "core/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lotusyard::core {
+namespace {
+
+// What the module leaves open is ended this long after its deadline, inside the grace that the rules give.
+constexpr Millis kOverdue{2};
+
+}  // namespace
+
+Dispatcher::Dispatcher(const Settings& settings, Clock clock, Hosts& hosts, Counters& counters)
+    : settings_(settings),
+      clock_(std::move(clock)),
+      hosts_(hosts),
+      counters_(counters),
+      module_(settings, clock_()) {}
+
+Dispatcher::Open* Dispatcher::find(CallId id) {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? nullptr : &found->second;
+}
+
+bool Dispatcher::take(CallId id, Call&& call, Front& front) {
+  // Danger: hosts know a call by its ref; two open under one would get each other's answers.
+  if (!refs_.insert(call.ref).second) {
+    counters_.add("calls.ref_open");
+    return false;
+  }
+  counters_.add("calls.taken");
+  Open& open = calls_[id];
+  open.call = std::move(call);
+  open.front = &front;
+  const auto& classes = settings_.classes;
+  const auto cls = std::find_if(classes.begin(), classes.end(),
+                                [&](const auto& c) { return c.name == open.call.class_name; });
+  open.once = cls == classes.end() || cls->semantics == robinfold::Semantics::once;
+  due_.push({open.call.arrived + open.call.allow + kOverdue, id, -1});
+  run(module_.pick(clock_(), id, open.call));
+  return true;
+}
+
+void Dispatcher::leave(CallId id) {
+  Open* open = find(id);
+  if (open == nullptr) return;
+  counters_.add("calls.left");
+  // The module hears of it before the attempt ends: it must not try again what nobody waits for.
+  run(module_.report(clock_(), CallLeft{id}));
+  if ((open = find(id)) != nullptr && open->out) {
+    hosts_.drop(open->out->attempt);
+    give_back(id, *open, Outcome::cancelled, true);
+  }
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  refs_.erase(found->second.call.ref);
+  calls_.erase(found);
+}
+
+// Tells the module of the end of the attempt that is out, if one is.
+void Dispatcher::give_back(CallId id, Open& open, Outcome outcome, bool over) {
+  if (!open.out) return;
+  const Out out = std::move(*open.out);
+  open.out.reset();
+  if (!robinfold::proves_never_ran(outcome)) open.may_have_run = true;
+  const Millis now = clock_();
+  AttemptOutcome told{{id, out.attempt.number}, out.host, outcome, over, 0, now - out.sent, std::nullopt};
+  run(module_.report(now, told));
+}
+
+void Dispatcher::attempt_ended(const Attempt& attempt, AttemptEnd&& end) {
+  Open* open = find(attempt.call);
+  if (open == nullptr || !open->out || !(open->out->attempt == attempt)) return;
+  const Out out = std::move(*open->out);
+  open->out.reset();
+  if (!robinfold::proves_never_ran(end.outcome)) open->may_have_run = true;
+  const Millis now = clock_();
+  const bool served = end.outcome == Outcome::ok;
+  AttemptOutcome told{attempt, out.host, end.outcome, served, end.crowd, now - out.sent, std::move(end.report)};
+  // The answer goes first: the module's turn may be long.
+  if (served) finish(attempt.call, {Verdict::served, Millis(0), std::move(end.body)});
+  run(module_.report(now, told));
+}
+
+void Dispatcher::load_ended(LoadOutcome&& end) { run(module_.report(clock_(), end)); }
+void Dispatcher::probe_ended(ProbeOutcome&& end) { run(module_.report(clock_(), end)); }
+void Dispatcher::members(HostList&& list) { run(module_.report(clock_(), list)); }
+
+void Dispatcher::tick() {
+  const Millis now = clock_();
+  run(module_.tick(now));
+  while (!due_.empty() && due_.top().at <= now) {
+    const Due due = due_.top();
+    due_.pop();
+    Open* open = find(due.call);
+    if (open == nullptr) continue;
+    if (due.attempt >= 0) {
+      if (!open->out || open->out->attempt.number != due.attempt) continue;
+      counters_.add("attempts.timed_out");
+      const bool ran = hosts_.drop(open->out->attempt);
+      give_back(due.call, *open, ran ? Outcome::timeout : Outcome::connect_failed, false);
+    } else {
+      // Danger: a call that the module forgot would never be answered.
+      counters_.add("calls.overdue");
+      run(module_.report(now, CallLeft{due.call}));
+      if (find(due.call) != nullptr) finish(due.call, Answer{});
+    }
+  }
+}
+
+Millis Dispatcher::next_due() const {
+  const Millis module = module_.next_tick();
+  return due_.empty() ? module : std::min(module, due_.top().at);
+}
+
+void Dispatcher::run(Steps&& steps) {
+  for (auto& step : steps) steps_.push_back(std::move(step));
+  if (running_) return;  // the outer run carries these out in their order
+  running_ = true;
+  while (!steps_.empty()) {
+    const Step step = std::move(steps_.front());
+    steps_.pop_front();
+    std::visit([this](const auto& s) { carry_out(s); }, step);
+  }
+  running_ = false;
+}
+
+void Dispatcher::carry_out(const SendStep& step) {
+  Open* open = find(step.call);
+  if (open == nullptr) return;
+  // Guards the rules whatever the module says: one attempt out, a few in all, nothing twice that may have run.
+  const Attempt attempt{step.call, open->attempts++};
+  const Millis now = clock_(), left = open->call.arrived + open->call.allow - now;
+  const Millis patience = step.patience.count() > 0 ? std::min(step.patience, left) : left;
+  const bool again = open->once && open->may_have_run;
+  if (open->out || again || attempt.number >= settings_.max_attempts || patience.count() < 1) {
+    counters_.add("guard.send_stopped");
+    const bool other_out = open->out.has_value();
+    if (!other_out) finish(step.call, Answer{});
+    run(module_.report(now, AttemptOutcome{attempt, step.host, Outcome::moot, !other_out, 0, {}, {}}));
+    return;
+  }
+  counters_.add("attempts.sent");
+  open->out = Out{attempt, step.host, now};
+  due_.push({now + patience, step.call, attempt.number});
+  hosts_.exec(attempt, step.host, open->call, patience);
+}
+
+void Dispatcher::carry_out(const RefuseStep& step) {
+  const Open* open = find(step.call);
+  if (open == nullptr) return;
+  // A refusal says that trying again is harmless; what may have run is failed, with the same advice.
+  const bool harmless = !open->may_have_run && !open->out;
+  finish(step.call, {harmless ? Verdict::refused : Verdict::failed, step.cooldown, {}});
+}
+
+void Dispatcher::carry_out(const FailStep& step) { finish(step.call, Answer{}); }
+
+void Dispatcher::carry_out(const CancelStep& step) {
+  Open* open = find(step.attempt.call);
+  if (open == nullptr || !open->out || !(open->out->attempt == step.attempt)) return;
+  counters_.add("attempts.cancelled");
+  const bool ran = hosts_.drop(step.attempt);
+  give_back(step.attempt.call, *open, ran ? Outcome::cancelled : Outcome::moot, false);
+}
+
+void Dispatcher::carry_out(const LoadStep& step) {
+  counters_.add("orders.sent");
+  hosts_.ensure(step.host, step.function, step.copies);
+}
+
+void Dispatcher::finish(CallId id, Answer&& answer) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  Open open = std::move(found->second);
+  calls_.erase(found);  // first: whatever follows finds the call ended
+  refs_.erase(open.call.ref);
+  static const char* const names[] = {"calls.served", "calls.refused", "calls.failed"};
+  counters_.add(names[static_cast<std::size_t>(answer.verdict)]);
+  if (open.out) hosts_.drop(open.out->attempt);
+  open.front->answer(id, std::move(answer));
+  give_back(id, open, Outcome::cancelled, true);
+}
+
+}  // namespace lotusyard::core
--- /dev/null
+++ b/src/core/dispatcher.h
@@ -0,0 +1,84 @@
+// A call's life: taken, tried at hosts one attempt at a time, ended by exactly one final answer.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "core/counters.h"
+#include "core/module.h"
+#include "core/types.h"
+
+namespace lotusyard::core {
+
+class Dispatcher {
+ public:
+  using Clock = std::function<Millis()>;
+  Dispatcher(const Settings& settings, Clock clock, Hosts& hosts, Counters& counters);
+
+  // The id is made beforehand, so that a front can file the call before an answer comes.
+  CallId next_id() { return ++last_id_; }
+  // False if it is not taken: a call with this ref is open.
+  bool take(CallId id, Call&& call, Front& front);
+  void leave(CallId id);  // the client is gone: no answer is owed
+
+  void attempt_ended(const Attempt& attempt, AttemptEnd&& end);
+  void load_ended(LoadOutcome&& end);
+  void probe_ended(ProbeOutcome&& end);
+  void members(HostList&& list);
+
+  void tick();
+  Millis next_due() const;
+  std::size_t open() const { return calls_.size(); }
+
+ private:
+  struct Out {
+    Attempt attempt;
+    std::string host;
+    Millis sent{0};
+  };
+  struct Open {
+    Call call;
+    Front* front = nullptr;
+    bool once = true, may_have_run = false;
+    int attempts = 0;
+    std::optional<Out> out;
+  };
+  struct Due {
+    Millis at{0};
+    CallId call = 0;
+    int attempt = -1;  // -1: the call's own deadline
+    bool operator>(const Due& o) const {
+      return std::tie(at, call, attempt) > std::tie(o.at, o.call, o.attempt);
+    }
+  };
+
+  Settings settings_;
+  Clock clock_;
+  Hosts& hosts_;
+  Counters& counters_;
+  Module module_;
+  CallId last_id_ = 0;
+  std::unordered_map<CallId, Open> calls_;
+  std::unordered_set<std::string> refs_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  std::deque<Step> steps_;
+  bool running_ = false;
+
+  void run(Steps&& steps);
+  void carry_out(const SendStep& step);
+  void carry_out(const RefuseStep& step);
+  void carry_out(const FailStep& step);
+  void carry_out(const CancelStep& step);
+  void carry_out(const ProbeStep& step) { hosts_.probe(step.host); }
+  void carry_out(const LoadStep& step);
+  void carry_out(const UnloadStep& step) { hosts_.release(step.host, step.function); }
+  void give_back(CallId id, Open& open, Outcome outcome, bool over);
+  void finish(CallId id, Answer&& answer);
+  Open* find(CallId id);
+};
+
+}  // namespace lotusyard::core
--- /dev/null
+++ b/src/core/module.h
@@ -0,0 +1,98 @@
+// The decision module behind a facade in blocking style: each call says what happened and returns what to do
+// now, requests held till now included. The module's events and actions stay on this side.
+#pragma once
+
+#include <queue>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/types.h"
+
+namespace lotusyard::core {
+
+struct SendStep {
+  CallId call = 0;
+  std::string host;
+  Millis patience{0};
+};
+struct RefuseStep {
+  CallId call = 0;
+  Millis cooldown{0};
+};
+struct FailStep {
+  CallId call = 0;
+};
+struct CancelStep {
+  Attempt attempt;
+};
+struct ProbeStep {
+  std::string host;
+};
+struct LoadStep {
+  std::string host;
+  std::uint64_t function = 0;
+  int copies = 0;
+};
+struct UnloadStep {
+  std::string host;
+  std::uint64_t function = 0;
+};
+using Step = std::variant<SendStep, RefuseStep, FailStep, CancelStep, ProbeStep, LoadStep, UnloadStep>;
+using Steps = std::vector<Step>;
+
+// What can be reported.
+struct AttemptOutcome {
+  Attempt attempt;
+  std::string host;
+  Outcome outcome = Outcome::error;
+  bool over = false;  // the call has its final answer
+  int crowd = 0;
+  Millis elapsed{0};
+  Report report;
+};
+struct LoadOutcome {
+  std::string host;
+  std::uint64_t function = 0;
+  Outcome outcome = Outcome::ok;
+  Millis elapsed{0};
+  int copies = 0;
+};
+struct ProbeOutcome {
+  std::string host;
+  Outcome outcome = Outcome::ok;
+  Millis elapsed{0};
+  Report report;
+};
+struct CallLeft {
+  CallId call = 0;
+};
+struct HostList {
+  ListKind kind = ListKind::full;
+  std::vector<WorkerEntry> entries;
+};
+using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList>;
+
+class Module {
+ public:
+  Module(const Settings& settings, Millis now);
+
+  Steps pick(Millis now, CallId id, const Call& call);
+  Steps report(Millis now, const Reported& what);
+  Steps tick(Millis now);  // everything that is due
+  Millis next_tick() const;
+
+ private:
+  struct Due {
+    Millis at{0};
+    std::uint64_t order = 0, token = 0;
+    bool operator>(const Due& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+  };
+  robinfold::Policy policy_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  std::uint64_t timers_set_ = 0;
+
+  Steps handle(Millis now, const robinfold::Event& event);
+};
+
+}  // namespace lotusyard::core
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,80 @@
+// What the core deals in: calls, attempts and outcomes. Nothing here knows a wire.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "robinfold/policy.h"
+
+namespace lotusyard::core {
+
+using robinfold::ListKind;
+using robinfold::Millis;
+using robinfold::Outcome;
+using robinfold::Report;
+using robinfold::Settings;
+using robinfold::WorkerEntry;
+using robinfold::WorkerState;
+
+using CallId = std::uint64_t;
+
+struct Call {
+  std::string ref;  // as the client named it; passed on unchanged
+  std::string class_name, tenant;
+  std::string function_name;   // as the client wrote it
+  std::uint64_t function = 0;  // the same as a number, for the module
+  std::optional<double> effort;
+  bool retry = false;
+  double memory_mb = 0;
+  int lanes = 1;
+  Millis arrived{0}, allow{0};
+  std::string body;
+};
+
+enum class Verdict { served, refused, failed };
+
+struct Answer {
+  Verdict verdict = Verdict::failed;
+  Millis cooldown{0};  // when to come back; 0: not said
+  std::string body;
+};
+
+// One attempt of one call; numbered from 0 in the order in which they went out.
+struct Attempt {
+  CallId call = 0;
+  int number = 0;
+  bool operator<(const Attempt& o) const { return std::tie(call, number) < std::tie(o.call, o.number); }
+  bool operator==(const Attempt& o) const { return call == o.call && number == o.number; }
+};
+
+struct AttemptEnd {
+  Outcome outcome = Outcome::error;
+  int crowd = 0;  // calls of the same function that the host held
+  Report report;
+  std::string body;
+};
+
+// Where calls come from. An answer may be given while Dispatcher::take still runs.
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void answer(CallId call, Answer&& answer) = 0;
+};
+
+// Where attempts go. Ends are told to the Dispatcher, never from inside these calls.
+class Hosts {
+ public:
+  virtual ~Hosts() = default;
+  virtual void exec(const Attempt& attempt, const std::string& host, const Call& call, Millis patience) = 0;
+  // Ends the attempt; true if it may have run. No end is told for it afterwards.
+  virtual bool drop(const Attempt& attempt) = 0;
+  virtual void probe(const std::string& host) = 0;
+  virtual void ensure(const std::string& host, std::uint64_t function, int copies) = 0;
+  virtual void release(const std::string& host, std::uint64_t function) = 0;
+};
+
+}  // namespace lotusyard::core
--- /dev/null
+++ b/src/feed/feed.cpp
@@ -0,0 +1,152 @@
+#include "feed/feed.h"
+
+#include <algorithm>
+
+#include "config/json_read.h"
+
+namespace lotusyard::feed {
+namespace {
+
+using config::key;
+using config::number;
+using config::text;
+using core::Millis;
+using core::WorkerState;
+
+constexpr Millis kConnectMost{500};
+constexpr Millis kQuietMost{2500};  // a line comes every second: a log quiet for longer is cut off
+constexpr Millis kPauseFirst{50}, kPauseMost{500};  // events count as told after 7 s whether they came or not
+
+core::Member read_member(const nlohmann::json& row) {
+  core::Member read;
+  read.entry.worker = text(key(row, "id"));
+  read.address = text(key(row, "host_port"));
+  read.entry.zone = text(key(row, "locality"));
+  read.entry.kind = text(key(row, "flavor"));
+  read.entry.cell = config::whole(key(row, "cell"));
+  read.entry.weight = number(key(row, "size"), 1);
+  read.entry.started = Millis(number(key(row, "up_since_ms")));
+  const std::string state = text(key(row, "phase"));
+  // An unknown state is taken as one in which nothing new may go there.
+  read.entry.state = state == "ready"  ? WorkerState::ready
+                     : state == "gone" ? WorkerState::gone
+                                       : WorkerState::draining;
+  return read;
+}
+
+}  // namespace
+
+bool LineCutter::take(std::string_view bytes, std::vector<std::string>& out) {
+  while (!bytes.empty()) {
+    const auto end = bytes.find('\n');
+    line_.append(bytes.substr(0, end));
+    if (line_.size() > longest) return false;
+    if (end == std::string_view::npos) break;
+    bytes.remove_prefix(end + 1);
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    if (!line_.empty()) out.push_back(std::move(line_));
+    line_.clear();
+  }
+  return true;
+}
+
+Log::Read Log::line(const std::string& line, core::MemberList& out) {
+  const auto read = nlohmann::json::parse(line, nullptr, false);
+  if (read.is_number_unsigned()) return read.get<std::uint64_t>() > last_ ? Read::gap : Read::nothing;
+  return event(read, out);
+}
+
+Log::Read Log::event(const nlohmann::json& event, core::MemberList& out) {
+  if (!key(event, "seq").is_number_unsigned()) return Read::malformed;
+  const std::uint64_t seq = config::large(key(event, "seq"));
+  if (seq <= last_) return Read::nothing;
+  if (seq != last_ + 1) return Read::gap;
+  const auto& list = key(event, "fleet");
+  last_ = seq;
+  if (!list.is_object()) return Read::nothing;  // a kind of event that is none of ours
+  out.complete = config::flag(key(list, "complete"));
+  out.members.clear();
+  for (const auto& row : key(list, "members")) {
+    auto member = read_member(row);
+    if (!member.entry.worker.empty()) out.members.push_back(std::move(member));
+  }
+  return Read::news;
+}
+
+class Feed::Connection final : public net::Stream {
+ public:
+  Connection(Feed& feed, net::Socket socket)
+      : Stream(feed.loop_, feed.pool_, std::move(socket), true), feed_(feed) {
+    expect(kConnectMost);
+  }
+  ~Connection() override { feed_.loop_.cancel(quiet_); }
+
+ private:
+  Feed& feed_;
+  LineCutter cutter_;
+  net::Loop::TimerId quiet_{};
+
+  void expect(Millis within) {
+    feed_.loop_.cancel(quiet_);
+    quiet_ = feed_.loop_.at(feed_.loop_.now() + within, [this] {
+      feed_.counters_.add("feed.quiet");
+      end_later();
+    });
+  }
+  void connected() override {
+    feed_.counters_.add("feed.connections");
+    write("since " + std::to_string(feed_.log_.last()) + "\n");
+    expect(kQuietMost);
+  }
+  void received(std::string_view bytes) override {
+    expect(kQuietMost);
+    std::vector<std::string> lines;
+    bool sound = cutter_.take(bytes, lines);
+    for (const auto& line : lines) {
+      core::MemberList list;
+      const auto read = feed_.log_.line(line, list);
+      if (read == Log::Read::news) {
+        feed_.pause_ = Millis(0);
+        feed_.counters_.add("feed.events");
+        feed_.told_(list);
+      } else if (read != Log::Read::nothing) {
+        sound = false;  // ask again from the last event that was understood
+        break;
+      }
+    }
+    if (sound) return;
+    feed_.counters_.add("feed.malformed_or_gap");
+    end_later();
+  }
+  void ended() override {
+    feed_.loop_.cancel(quiet_);
+    feed_.again();
+  }
+};
+
+Feed::Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
+           Told told)
+    : loop_(loop),
+      pool_(pool),
+      counters_(counters),
+      address_(std::move(address)),
+      log_(log),
+      told_(std::move(told)) {}
+
+Feed::~Feed() { loop_.cancel(timer_); }
+
+void Feed::connect() {
+  net::Socket socket = net::connect_to(address_);
+  if (!socket) return again();
+  connection_ = std::make_shared<Connection>(*this, std::move(socket));
+}
+
+void Feed::again() {
+  if (connection_) loop_.bury(std::move(connection_));
+  connection_.reset();
+  loop_.cancel(timer_);
+  timer_ = loop_.at(loop_.now() + std::max(pause_, kPauseFirst), [this] { connect(); });
+  pause_ = std::min(std::max(pause_ * 2, kPauseFirst), kPauseMost);
+}
+
+}  // namespace lotusyard::feed
--- /dev/null
+++ b/src/feed/feed.h
@@ -0,0 +1,65 @@
+// The change log: what was known at the start, then every later event once, in order, over connections that
+// are made again as often as they break.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/member.h"
+#include "net/loop.h"
+#include "net/stream.h"
+
+namespace lotusyard::feed {
+
+// Lines in whatever pieces they come; false once a line is longer than any event may be.
+class LineCutter {
+ public:
+  static constexpr std::size_t longest = 1U << 20;
+  bool take(std::string_view bytes, std::vector<std::string>& out);
+
+ private:
+  std::string line_;
+};
+
+// Reads events and keeps their numbers: repeats are passed over, a gap is told.
+class Log {
+ public:
+  enum class Read { news, nothing, gap, malformed };
+  explicit Log(std::uint64_t last = 0) : last_(last) {}
+  Read line(const std::string& line, core::MemberList& out);
+  Read event(const nlohmann::json& event, core::MemberList& out);
+  std::uint64_t last() const { return last_; }
+  void skip_to(std::uint64_t seq) { last_ = std::max(last_, seq); }
+
+ private:
+  std::uint64_t last_;
+};
+
+class Feed {
+ public:
+  using Told = std::function<void(const core::MemberList&)>;
+  Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log, Told told);
+  ~Feed();
+  void start() { connect(); }
+
+ private:
+  class Connection;
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  core::Counters& counters_;
+  std::string address_;
+  Log log_;
+  Told told_;
+  std::shared_ptr<Connection> connection_;
+  net::Loop::TimerId timer_{};
+  core::Millis pause_{0};
+
+  void connect();
+  void again();
+};
+
+}  // namespace lotusyard::feed
--- /dev/null
+++ b/src/hosts/fleet.h
@@ -0,0 +1,64 @@
+// The hosts and the connections to them: attempts, probes and orders go out here and their ends come back.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/dispatcher.h"
+#include "core/member.h"
+#include "net/loop.h"
+#include "net/stream.h"
+
+namespace lotusyard::hosts {
+
+using core::Millis;
+
+struct Limits {
+  Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
+  std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
+  std::vector<std::string> report_fields;  // in the order in which the module wants them
+};
+
+class Fleet final : public core::Hosts {
+ public:
+  Fleet(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, Limits limits);
+  ~Fleet() override;
+  void attach(core::Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
+
+  void members(const core::MemberList& list);
+
+  void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
+            Millis patience) override;
+  bool drop(const core::Attempt& attempt) override;
+  void probe(const std::string& host) override;
+  void ensure(const std::string& host, std::uint64_t function, int copies) override;
+  void release(const std::string& host, std::uint64_t function) override;
+
+ private:
+  class Link;
+  struct Host {
+    core::Member member;
+    std::vector<std::shared_ptr<Link>> links;
+  };
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  core::Counters& counters_;
+  Limits limits_;
+  core::Dispatcher* dispatcher_ = nullptr;
+  std::map<std::string, Host> hosts_;
+  std::map<core::Attempt, Link*> attempts_;
+  std::size_t links_ = 0;
+  std::uint64_t last_tag_ = 0;
+
+  Host* ready_host(const std::string& id);
+  Link* link_for(Host& host, const std::string& ref);
+  void later(std::function<void()> tell);
+  core::Report read_report(const std::string& text) const;
+  void link_gone(Link& link);
+};
+
+}  // namespace lotusyard::hosts
--- /dev/null
+++ b/src/hosts/line_parser.h
@@ -0,0 +1,32 @@
+// The hosts' answers: lines of words, some with a body of a stated length, in whatever pieces they come.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lotusyard::hosts {
+
+struct Reply {
+  std::string id, word, fields;  // fields: empty for '-'
+  std::string body;
+};
+
+class LineParser {
+ public:
+  static constexpr std::size_t longest_line = 2048, longest_body = 1U << 20;
+
+  // Takes all bytes; whole replies are added to `out`. False once the stream cannot be understood any more.
+  bool take(std::string_view bytes, std::vector<Reply>& out);
+
+ private:
+  enum class State { line, body, spoilt };
+  State state_ = State::line;
+  std::string line_;
+  Reply reply_;
+  std::size_t body_left_ = 0, ending_ = 0;  // ending_: bytes of the CR LF after a body that have come
+
+  bool whole_line(std::vector<Reply>& out);
+};
+
+}  // namespace lotusyard::hosts
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,151 @@
+// Wires the parts of one invoker together, and ends it as the platform asks.
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <iostream>
+
+#include "config/config.h"
+#include "core/dispatcher.h"
+#include "feed/feed.h"
+#include "hosts/fleet.h"
+#include "net/loop.h"
+#include "resp/front.h"
+
+namespace lotusyard {
+namespace {
+
+using core::Millis;
+
+constexpr Millis kComingFor{800};   // after SIGTERM connections and calls keep coming for at most 0.6 s
+constexpr Millis kListenFor{500};   // new connections for at most 0.4 s of these
+constexpr Millis kLeastKill{3000};  // SIGKILL comes no sooner than the longest deadline, or this, plus 0.7 s
+constexpr Millis kKillSlack{600};
+
+volatile std::sig_atomic_t g_terminate = 0, g_print = 0;
+int g_wake_fd = -1;  // the write end of a pipe: a signal must end poll(2) at once
+
+void on_signal(int signal) {
+  (signal == SIGUSR1 ? g_print : g_terminate) = 1;
+  const char byte = 0;
+  if (write(g_wake_fd, &byte, 1) < 0) return;  // full: the loop wakes anyway
+}
+
+class Wake final : public net::Handler {
+ public:
+  explicit Wake(net::Loop& loop) : loop_(loop) {
+    int ends[2];
+    if (pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for signals");
+    read_end_ = net::Socket(ends[0]);
+    write_end_ = net::Socket(ends[1]);
+    g_wake_fd = write_end_.fd();
+    loop_.watch(read_end_.fd(), *this, POLLIN);
+    struct sigaction act {};
+    act.sa_handler = on_signal;
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaction(signal, &act, nullptr);
+    act.sa_handler = SIG_IGN;
+    sigaction(SIGPIPE, &act, nullptr);
+  }
+  ~Wake() override { loop_.forget(read_end_.fd(), *this); }
+  void ready(short) override {
+    char bytes[64];
+    while (read(read_end_.fd(), bytes, sizeof bytes) > 0) {}
+  }
+
+ private:
+  net::Loop& loop_;
+  net::Socket read_end_, write_end_;
+};
+
+std::string environment(const char* name) {
+  const char* const value = std::getenv(name);
+  return value == nullptr ? std::string() : value;
+}
+
+int run() {
+  const auto config = config::read_config(config::read_json_file(environment("BALANCER_CONFIG")),
+                                          environment("BALANCER_NAME"), environment("BALANCER_LISTEN"));
+  net::Loop loop;
+  Wake wake(loop);
+  core::Counters counters;
+  // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls.
+  const std::size_t quarter = (config.memory_mb << 20) / 4;
+  net::BufferPool pool(quarter / net::BufferPool::block_size);
+
+  hosts::Limits host_limits;
+  host_limits.connect_timeout = config.settings.connect_timeout;
+  host_limits.idle = config.connection_idle;
+  host_limits.order_timeout = config.settings.order_timeout;
+  host_limits.attempts_a_link = config.attempts_a_link;
+  host_limits.links = config.sockets / 3;
+  host_limits.report_fields = config.report_fields;
+  hosts::Fleet fleet(loop, pool, counters, host_limits);
+  core::Dispatcher dispatcher(config.settings, [&loop] { return loop.now(); }, fleet, counters);
+  fleet.attach(dispatcher);
+
+  const auto told = [&](const core::MemberList& list, core::ListKind kind) {
+    fleet.members(list);  // first: what the module sends next needs the addresses
+    core::HostList entries{kind, {}};
+    for (const auto& member : list.members) entries.entries.push_back(member.entry);
+    dispatcher.members(std::move(entries));
+  };
+  feed::Log log;
+  for (const auto& event : config.known_events) {
+    core::MemberList list;
+    if (log.event(event, list) != feed::Log::Read::news) continue;
+    told(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
+  }
+  log.skip_to(config.known_seq);
+  feed::Feed feed(loop, pool, counters, config.changelog, log, [&](const core::MemberList& list) {
+    told(list, list.complete ? core::ListKind::full : core::ListKind::delta);
+  });
+  feed.start();
+
+  std::set<std::string> classes;
+  Millis longest = kLeastKill;
+  for (const auto& c : config.settings.classes) {
+    classes.insert(c.name);
+    longest = std::max(longest, c.deadline);
+  }
+  resp::Front::Limits front_limits;
+  front_limits.clients = config.sockets / 3 + 8;
+  front_limits.body_bytes = quarter;
+  resp::Front front(loop, pool, dispatcher, counters, classes, front_limits);
+  if (!front.listen(config.listen)) throw config::ConfigError("configuration: listen: cannot listen on " + config.listen);
+  std::cout << "lotusyard " << config.name << " listens on " << config.listen << std::endl;
+
+  Millis told_to_end{0};
+  while (true) {
+    Millis due = dispatcher.next_due();
+    if (told_to_end.count() > 0) due = std::min(due, loop.now() + Millis(20));
+    loop.turn(due, [&] { dispatcher.tick(); });
+    if (g_print != 0) {
+      g_print = 0;
+      counters.print(std::cout);
+    }
+    if (g_terminate != 0 && told_to_end.count() == 0) {
+      told_to_end = loop.now();
+      front.drain();
+    }
+    if (told_to_end.count() == 0) continue;
+    const Millis since = loop.now() - told_to_end;
+    if (since > kListenFor) front.stop_listening();
+    if (since > kComingFor && ((front.open_calls() == 0 && front.written()) || since > longest + kKillSlack)) break;
+  }
+  counters.print(std::cout);
+  return 0;
+}
+
+}  // namespace
+}  // namespace lotusyard
+
+int main() {
+  try {
+    return lotusyard::run();
+  } catch (const std::exception& fault) {
+    std::cerr << "lotusyard: " << fault.what() << std::endl;
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/buffer.cpp
@@ -0,0 +1,46 @@
+#include "net/buffer.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace lotusyard::net {
+
+bool Outbox::append(std::string_view bytes) {
+  while (!bytes.empty()) {
+    if (blocks_.empty() || tail_ == BufferPool::block_size) {
+      auto lease = pool_.take();
+      if (!lease) return false;
+      if (blocks_.empty()) head_ = 0;
+      blocks_.push_back(std::move(lease));
+      tail_ = 0;
+    }
+    const std::size_t part = std::min(bytes.size(), BufferPool::block_size - tail_);
+    std::memcpy(blocks_.back()->data() + tail_, bytes.data(), part);
+    tail_ += part;
+    appended_ += part;
+    bytes.remove_prefix(part);
+  }
+  return true;
+}
+
+Outbox::Written Outbox::write_to(int fd) {
+  while (!blocks_.empty()) {
+    const std::size_t end = blocks_.size() == 1 ? tail_ : BufferPool::block_size;
+    const ssize_t sent = ::send(fd, blocks_.front()->data() + head_, end - head_, MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EINTR) continue;
+      return errno == EAGAIN || errno == EWOULDBLOCK ? Written::some : Written::broken;
+    }
+    written_ += static_cast<std::size_t>(sent);
+    head_ += static_cast<std::size_t>(sent);
+    if (head_ < end) continue;
+    blocks_.pop_front();
+    head_ = 0;
+  }
+  return Written::all;
+}
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/net/buffer.h
@@ -0,0 +1,58 @@
+// Buffers of one size from a pool, and the queue of bytes that a connection has yet to write.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace lotusyard::net {
+
+class BufferPool {
+ public:
+  static constexpr std::size_t block_size = 16 * 1024;
+  using Block = std::array<char, block_size>;
+  struct GiveBack {
+    BufferPool* pool;
+    void operator()(Block* block) const { pool->free_.emplace_back(block); }
+  };
+  using Lease = std::unique_ptr<Block, GiveBack>;
+
+  explicit BufferPool(std::size_t most_blocks) : most_(most_blocks) {}
+  Lease take() {  // empty when all are out: the bound on what may wait unwritten
+    if (free_.empty()) {
+      if (made_ >= most_) return Lease(nullptr, GiveBack{this});
+      ++made_;
+      return Lease(new Block, GiveBack{this});
+    }
+    Lease lease(free_.back().release(), GiveBack{this});
+    free_.pop_back();
+    return lease;
+  }
+  std::size_t out() const { return made_ - free_.size(); }
+
+ private:
+  std::size_t most_, made_ = 0;
+  std::vector<std::unique_ptr<Block>> free_;
+};
+
+class Outbox {
+ public:
+  enum class Written { all, some, broken };
+  explicit Outbox(BufferPool& pool) : pool_(pool) {}
+  bool append(std::string_view bytes);  // false: no buffer to be had, and the stream is spoilt
+  Written write_to(int fd);
+  bool empty() const { return appended_ == written_; }
+  std::uint64_t appended() const { return appended_; }  // offsets count from the connection's start
+  std::uint64_t written() const { return written_; }    // handed to the kernel
+
+ private:
+  BufferPool& pool_;
+  std::deque<BufferPool::Lease> blocks_;
+  std::size_t head_ = 0, tail_ = 0;  // first unwritten byte of the first block, end of the last
+  std::uint64_t appended_ = 0, written_ = 0;
+};
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,90 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cmath>
+
+namespace lotusyard::net {
+namespace {
+
+constexpr double kLongestWait = 1000;
+
+template <typename Clock>
+double milliseconds() {
+  return Millis(Clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+Loop::Loop()
+    : offset_ms_(milliseconds<std::chrono::system_clock>() - milliseconds<std::chrono::steady_clock>()) {}
+Loop::~Loop() = default;
+
+Millis Loop::now() const { return Millis(milliseconds<std::chrono::steady_clock>() + offset_ms_); }
+
+void Loop::watch(int fd, Handler& handler, short events) {
+  const auto place = static_cast<std::size_t>(fd);
+  if (place >= by_fd_.size()) by_fd_.resize(place + 1);
+  Entry& entry = by_fd_[place];
+  if (entry.handler != &handler) entry.serial = ++serial_;
+  entry.handler = &handler;
+  entry.events = events;
+}
+
+void Loop::forget(int fd, Handler& handler) {
+  const auto place = static_cast<std::size_t>(fd);
+  if (fd >= 0 && place < by_fd_.size() && by_fd_[place].handler == &handler) by_fd_[place] = Entry();
+  std::replace(unflushed_.begin(), unflushed_.end(), &handler, static_cast<Handler*>(nullptr));
+}
+
+void Loop::flush_later(Handler& handler) {
+  if (std::find(unflushed_.begin(), unflushed_.end(), &handler) == unflushed_.end()) {
+    unflushed_.push_back(&handler);
+  }
+}
+
+Loop::TimerId Loop::at(Millis when, std::function<void()> ring) {
+  const TimerId id{when.count(), ++serial_};
+  timers_.emplace(id, std::move(ring));
+  return id;
+}
+
+void Loop::flush() {
+  // By index: a flush may queue more, and an ended handler leaves a gap.
+  for (std::size_t i = 0; i < unflushed_.size(); ++i) {
+    Handler* handler = std::exchange(unflushed_[i], nullptr);
+    if (handler != nullptr) handler->flush();
+  }
+  unflushed_.clear();
+}
+
+void Loop::turn(Millis due, const std::function<void()>& decide) {
+  double until = due.count();
+  if (!timers_.empty()) until = std::min(until, timers_.begin()->first.first);
+  const double wait = std::min(std::max(until - now().count(), 0.0), kLongestWait);
+  polled_.clear();
+  serials_.clear();
+  for (std::size_t fd = 0; fd < by_fd_.size(); ++fd) {
+    if (by_fd_[fd].handler == nullptr) continue;
+    polled_.push_back({static_cast<int>(fd), by_fd_[fd].events, 0});
+    serials_.push_back(by_fd_[fd].serial);
+  }
+  const int found = ::poll(polled_.data(), polled_.size(), static_cast<int>(std::ceil(wait)));
+  for (std::size_t i = 0; found > 0 && i < polled_.size(); ++i) {
+    if (polled_[i].revents == 0) continue;
+    const Entry& entry = by_fd_[static_cast<std::size_t>(polled_[i].fd)];
+    if (entry.handler != nullptr && entry.serial == serials_[i]) entry.handler->ready(polled_[i].revents);
+  }
+  const double turn_at = now().count();
+  while (!timers_.empty() && timers_.begin()->first.first <= turn_at) {
+    const auto ring = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    ring();
+  }
+  decide();
+  flush();
+  graves_.clear();
+}
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,69 @@
+// One poll(2) loop: reads all that is readable, rings timers, then writes what the turn has queued.
+#pragma once
+
+#include <poll.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "net/buffer.h"
+#include "robinfold/policy.h"
+
+namespace lotusyard::net {
+
+using robinfold::Millis;
+
+class Handler {
+ public:
+  virtual ~Handler() = default;
+  virtual void ready(short events) = 0;
+  virtual void flush() {}
+};
+
+class Loop {
+ public:
+  using TimerId = std::pair<double, std::uint64_t>;
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  // Unix milliseconds, from the system's clock at the start and steady from there on.
+  Millis now() const;
+
+  void watch(int fd, Handler& handler, short events);  // again: changes the events
+  void forget(int fd, Handler& handler);               // before the descriptor is closed
+  void flush_later(Handler& handler);                  // at the end of this turn
+
+  TimerId at(Millis when, std::function<void()> ring);
+  void cancel(const TimerId& id) { timers_.erase(id); }
+
+  // Keeps an ended object until no call on the stack can still be inside it.
+  void bury(std::shared_ptr<void> ended) { graves_.push_back(std::move(ended)); }
+
+  // One turn; waits for at most as long as `due` and the timers allow. `decide` runs between reads and writes.
+  void turn(Millis due, const std::function<void()>& decide);
+
+ private:
+  struct Entry {
+    Handler* handler = nullptr;
+    short events = 0;
+    std::uint64_t serial = 0;  // tells a descriptor's user from the next one's
+  };
+  std::vector<Entry> by_fd_;
+  std::vector<pollfd> polled_;
+  std::vector<std::uint64_t> serials_;
+  std::vector<Handler*> unflushed_;
+  std::map<TimerId, std::function<void()>> timers_;
+  std::vector<std::shared_ptr<void>> graves_;
+  std::uint64_t serial_ = 0;
+  double offset_ms_ = 0;
+
+  void flush();
+};
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/net/socket.h
@@ -0,0 +1,38 @@
+// An owned descriptor, and the few ways in which the program opens one. All are non-blocking.
+#pragma once
+
+#include <string>
+#include <utility>
+
+namespace lotusyard::net {
+
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(int fd) : fd_(fd) {}
+  ~Socket() { close(); }
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    if (this != &other) {
+      close();
+      fd_ = std::exchange(other.fd_, -1);
+    }
+    return *this;
+  }
+  int fd() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+  void close();
+
+ private:
+  int fd_ = -1;
+};
+
+// Numeric addresses only, as host:port or [host]:port. A failed call gives an empty Socket.
+Socket listen_on(const std::string& address);
+Socket connect_to(const std::string& address);  // under way: writable once it is decided
+Socket accept_from(const Socket& listener);
+int pending_error(const Socket& socket);  // of a connect that was decided
+std::string bound_address(const Socket& listener);
+bool valid_address(const std::string& address);
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,88 @@
+#include "net/stream.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace lotusyard::net {
+namespace {
+
+constexpr int kReadsATurn = 8;  // one busy peer must not keep the others waiting
+
+}  // namespace
+
+Stream::Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting)
+    : loop_(loop), socket_(std::move(socket)), outbox_(pool), connecting_(connecting) {
+  if (socket_) watch();
+}
+
+Stream::~Stream() { loop_.forget(socket_.fd(), *this); }
+
+void Stream::watch() {
+  const bool writes = connecting_ || !outbox_.empty();
+  loop_.watch(socket_.fd(), *this, static_cast<short>((connecting_ ? 0 : POLLIN) | (writes ? POLLOUT : 0)));
+}
+
+void Stream::write(std::string_view bytes) {
+  if (!socket_ || ending_) return;
+  // A stream with a gap cannot be understood: it ends.
+  if (!outbox_.append(bytes)) return end_later();
+  if (!connecting_) loop_.flush_later(*this);
+}
+
+bool Stream::flush_now() {
+  if (!socket_ || connecting_ || ending_) return false;
+  const auto written = outbox_.write_to(socket_.fd());
+  if (written == Outbox::Written::broken) {
+    end_later();
+    return false;
+  }
+  watch();
+  return written == Outbox::Written::all;
+}
+
+void Stream::flush() {
+  if (!ending_) flush_now();
+  if (ending_) end();
+}
+
+void Stream::end_later() {
+  if (!socket_) return;
+  ending_ = true;
+  loop_.flush_later(*this);
+}
+
+void Stream::end() {
+  if (!socket_) return;
+  loop_.forget(socket_.fd(), *this);
+  socket_.close();
+  connecting_ = false;
+  ended();
+}
+
+void Stream::ready(short events) {
+  if (connecting_) {
+    if (pending_error(socket_) != 0 || (events & (POLLERR | POLLNVAL)) != 0) return end();
+    if ((events & POLLOUT) == 0) return;
+    connecting_ = false;
+    watch();
+    return connected();
+  }
+  if ((events & POLLOUT) != 0) loop_.flush_later(*this);
+  if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) read();
+}
+
+void Stream::read() {
+  // A lease of its own, since what is received may be answered from the same pool.
+  char block[BufferPool::block_size];
+  for (int i = 0; i < kReadsATurn && socket_ && !ending_; ++i) {
+    const ssize_t got = ::recv(socket_.fd(), block, sizeof block, 0);
+    if (got < 0 && errno == EINTR) continue;
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+    if (got <= 0) return end();
+    received(std::string_view(block, static_cast<std::size_t>(got)));
+    if (static_cast<std::size_t>(got) < sizeof block) return;
+  }
+}
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,45 @@
+// A connection: owns its socket, its unwritten bytes and its place in the loop, and gives all three back at once.
+#pragma once
+
+#include <string_view>
+
+#include "net/loop.h"
+#include "net/socket.h"
+
+namespace lotusyard::net {
+
+class Stream : public Handler {
+ public:
+  Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting);
+  ~Stream() override;
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  void write(std::string_view bytes);  // goes out at the end of the turn
+  bool flush_now();                    // false if some bytes must wait or the stream ends
+  void end_later();                    // ends it from the loop, for callers that `ended` must not interrupt
+  bool open() const { return static_cast<bool>(socket_) && !connecting_; }
+  bool connecting() const { return static_cast<bool>(socket_) && connecting_; }
+  const Outbox& outbox() const { return outbox_; }
+
+  void ready(short events) final;
+  void flush() final;
+
+ protected:
+  virtual void connected() {}
+  virtual void received(std::string_view bytes) = 0;
+  virtual void ended() = 0;  // once; the socket is closed, nothing more comes
+  void end();
+  Loop& loop() { return loop_; }
+
+ private:
+  Loop& loop_;
+  Socket socket_;
+  Outbox outbox_;
+  bool connecting_ = false, ending_ = false;
+
+  void watch();
+  void read();
+};
+
+}  // namespace lotusyard::net
--- /dev/null
+++ b/src/resp/front.h
@@ -0,0 +1,67 @@
+// The platform's front: clients that CALL, CANCEL and CHECK over RESP.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "core/counters.h"
+#include "core/dispatcher.h"
+#include "net/loop.h"
+#include "net/socket.h"
+#include "net/stream.h"
+#include "resp/parser.h"
+
+namespace lotusyard::resp {
+
+class Front final : public core::Front, private net::Handler {
+ public:
+  struct Limits {
+    std::size_t clients = 256, calls_a_client = 32;
+    std::size_t body_bytes = 48U << 20;  // of all open calls
+  };
+  Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
+        std::set<std::string> classes, Limits limits);
+  ~Front() override;
+
+  bool listen(const std::string& address);
+  std::string address() const { return net::bound_address(listener_); }
+  void drain() { draining_ = true; }  // CHECK says DOWN from now on; calls are still taken
+  void stop_listening();
+  std::size_t open_calls() const { return by_call_.size(); }
+  bool written() const;  // nothing waits to be written
+
+  void answer(core::CallId call, core::Answer&& answer) override;
+
+ private:
+  class Client;
+  struct Filed {
+    Client* client;
+    std::string tag;
+    std::size_t body_bytes;
+  };
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  core::Dispatcher& dispatcher_;
+  core::Counters& counters_;
+  std::set<std::string> classes_;
+  Limits limits_;
+  net::Socket listener_;
+  std::list<std::shared_ptr<Client>> clients_;  // the one longest unheard first
+  std::unordered_map<core::CallId, Filed> by_call_;
+  std::size_t bodies_ = 0;
+  bool draining_ = false, full_ = false;
+
+  void ready(short events) override;
+  bool make_room();
+  void take(Client& client, Words&& words);
+  void call(Client& client, Words&& words);
+  void say(Client& client, const std::string& tag, core::Verdict verdict, core::Millis cooldown,
+           std::string_view body);
+  void unfile(core::CallId call);
+  void gone(Client& client);
+};
+
+}  // namespace lotusyard::resp
--- /dev/null
+++ b/src/resp/parser.h
@@ -0,0 +1,34 @@
+// RESP arrays of bulk strings, in whatever pieces they come.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lotusyard::resp {
+
+using Words = std::vector<std::string>;
+
+class Parser {
+ public:
+  static constexpr std::size_t most_words = 8, longest_word = 16 * 1024;
+
+  // Takes all bytes; whole arrays are added to `out`. False once the stream cannot be understood any more.
+  bool take(std::string_view bytes, std::vector<Words>& out);
+
+ private:
+  enum class State { array, bulk, data, data_end, spoilt };
+  State state_ = State::array;
+  std::string line_;  // of a header, without its end
+  bool return_seen_ = false;
+  std::size_t words_left_ = 0, bytes_left_ = 0;
+  Words words_;
+
+  bool header(char sign, std::size_t most, std::size_t& value) const;
+  bool header_line(std::vector<Words>& out);
+  bool next_word(std::vector<Words>& out);
+};
+
+void write_array(std::string& out, const std::vector<std::string_view>& words);
+
+}  // namespace lotusyard::resp
--- a/src/simhost/wire.h
+++ b/src/simhost/wire.h
@@ -34,7 +34,6 @@
   void take(Instance& instance, Millis now, const nlohmann::json& message, std::vector<Action>& out);
 };
 
-Settings read_settings(const nlohmann::json& env, std::uint64_t seed);
 nlohmann::json write_action(const Action& action);
 
 }  // namespace robinfold::simhost
