--- /dev/null
+++ b/src/amqp/channel.cpp
@@ -0,0 +1,255 @@
+#include "amqp/channel.h"
+
+#include <algorithm>
+
+#include "amqp/methods.h"
+
+namespace lotusyard::amqp {
+namespace {
+
+using net::Millis;
+
+constexpr std::uint16_t kChannel = 1;
+constexpr std::uint32_t kFrameMost = 128 * 1024;
+constexpr Millis kSetupMost{10000};  // a broker that never finishes the handshake is left
+constexpr std::string_view kGreeting("AMQP\0\0\x09\x01", 8);
+
+std::string consumer_tag(std::size_t queue) { return "lotusyard-" + std::to_string(queue); }
+
+}  // namespace
+
+Channel::Channel(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, const Broker& broker,
+                 Consumer& consumer, net::Socket socket)
+    : Stream(loop, pool, std::move(socket), true), counters_(counters), broker_(broker), consumer_(consumer) {
+  setup_ = loop.at(loop.now() + kSetupMost, [this] { lost("amqp.setup_late"); });
+}
+
+Channel::~Channel() {
+  for (const auto& timer : {beat_, quiet_, setup_}) loop().cancel(timer);
+}
+
+bool Channel::lost(const char* why) {
+  counters_.add(why);
+  end_later();
+  return false;
+}
+
+void Channel::connected() { write(kGreeting); }
+
+void Channel::ended() {
+  for (const auto& timer : {beat_, quiet_, setup_}) loop().cancel(timer);
+  consumer_.channel_down();
+}
+
+void Channel::say(std::uint32_t id, std::uint16_t channel, const Writer& arguments) {
+  Writer head;
+  head.u16(id >> 16).u16(id & 0xFFFF);
+  write(frame(FrameType::method, channel, head.bytes() + arguments.bytes()));
+}
+
+void Channel::received(std::string_view bytes) {
+  watch_quiet();
+  std::vector<Frame> frames;
+  const bool sound = parser_.take(bytes, frames);
+  for (auto& one : frames) {
+    if (!take(std::move(one))) return;
+  }
+  if (!sound) lost("amqp.malformed");
+}
+
+// False if the connection ends: what follows in the same bytes is not looked at any more.
+bool Channel::take(Frame&& one) {
+  if (one.type == FrameType::heartbeat) return true;
+  if (one.channel != 0 && one.channel != kChannel) return lost("amqp.unknown_channel");
+  if (one.type != FrameType::method) return content(std::move(one));
+  if (content_ != Content::none) return lost("amqp.content_broken_off");
+  Reader in(one.payload);
+  const std::uint32_t cls = in.u16();
+  const std::uint32_t id = method::id(cls, in.u16());
+  if (!method(in, id)) return false;
+  return in.ok() ? true : lost("amqp.malformed");
+}
+
+bool Channel::method(Reader& in, std::uint32_t id) {
+  const auto step = [&](State from, State to) {
+    if (state_ != from) return lost("amqp.out_of_order");
+    state_ = to;
+    return true;
+  };
+  switch (id) {
+    case method::connection_start: {
+      if (!step(State::start, State::tune)) return false;
+      in.u16();  // the version: 0-9 of any revision
+      in.table();
+      const std::string mechanisms = in.long_text();
+      if (mechanisms.find("PLAIN") == std::string::npos) return lost("amqp.no_plain_login");
+      using namespace std::string_literals;
+      say(method::connection_start_ok, 0,
+          Writer()
+              .table({{"product", "lotusyard"s}})
+              .short_text("PLAIN")
+              .long_text("\0"s + broker_.user + "\0"s + broker_.password)
+              .short_text("en_US"));
+      return true;
+    }
+    case method::connection_tune: {
+      if (!step(State::tune, State::open)) return false;
+      const std::uint16_t channels = in.u16();
+      const std::uint32_t most = in.u32();
+      const std::uint16_t theirs = in.u16();
+      frame_most_ = most == 0 ? kFrameMost : std::min(most, kFrameMost);
+      if (frame_most_ < 4096) return lost("amqp.frames_too_small");  // the specification's least
+      parser_.limit(frame_most_ - FrameParser::overhead);
+      const std::uint16_t mine = broker_.heartbeat_s;
+      const std::uint16_t seconds = theirs == 0 || mine == 0 ? std::max(theirs, mine) : std::min(theirs, mine);
+      say(method::connection_tune_ok, 0, Writer().u16(channels).u32(frame_most_).u16(seconds));
+      say(method::connection_open, 0, Writer().short_text(broker_.vhost).short_text("").u8(0));
+      interval_ = Millis(1000.0 * seconds);
+      beat();
+      watch_quiet();
+      return true;
+    }
+    case method::connection_open_ok:
+      if (!step(State::open, State::channel)) return false;
+      say(method::channel_open, kChannel, Writer().short_text(""));
+      return true;
+    case method::channel_open_ok:
+      if (!step(State::channel, State::confirm)) return false;
+      say(method::confirm_select, kChannel, Writer().u8(0));
+      return true;
+    case method::confirm_select_ok:
+      if (!step(State::confirm, State::qos)) return false;
+      say(method::basic_qos, kChannel, Writer().u32(0).u16(broker_.prefetch).u8(0));
+      return true;
+    case method::basic_qos_ok:
+      if (!step(State::qos, State::consume)) return false;
+      consume_all();
+      return true;
+    case method::basic_consume_ok:
+      if (state_ == State::consume && ++consumers_ == broker_.queues.size()) {
+        state_ = State::up;
+        loop().cancel(setup_);
+        consumer_.channel_up();
+      }
+      return true;
+    case method::basic_cancel_ok: return true;
+    case method::basic_cancel: return lost("amqp.consumer_cancelled");  // the queue is gone: begin anew
+    case method::basic_deliver:
+      in.short_text();
+      delivery_ = Delivery();
+      delivery_.tag = in.u64();
+      delivery_.redelivered = (in.u8() & 1) != 0;
+      content_ = Content::delivery;
+      header_seen_ = false;
+      return true;
+    case method::basic_return:
+      counters_.add("amqp.answers_returned");  // nobody holds the reply queue any more; a confirm follows
+      delivery_ = Delivery();
+      content_ = Content::returned;
+      header_seen_ = false;
+      return true;
+    case method::basic_ack:
+    case method::basic_nack: {
+      const std::uint64_t number = in.u64();
+      const bool multiple = (in.u8() & 1) != 0;
+      consumer_.confirmed(number, multiple, id == method::basic_ack);
+      return true;
+    }
+    case method::channel_flow: {
+      flowing_ = (in.u8() & 1) != 0;
+      say(method::channel_flow_ok, kChannel, Writer().u8(flowing_ ? 1 : 0));
+      if (flowing_ && state_ == State::up) consumer_.channel_up();
+      return true;
+    }
+    case method::channel_close:
+      say(method::channel_close_ok, kChannel, Writer());
+      flush_now();
+      return lost("amqp.channel_closed");
+    case method::connection_close:
+      say(method::connection_close_ok, 0, Writer());
+      flush_now();
+      return lost("amqp.connection_closed");
+    case method::connection_close_ok: end_later(); return false;
+    default: return lost("amqp.unknown_method");
+  }
+}
+
+void Channel::consume_all() {
+  for (std::size_t i = 0; i < broker_.queues.size(); ++i) {
+    say(method::basic_consume, kChannel,
+        Writer().u16(0).short_text(broker_.queues[i]).short_text(consumer_tag(i)).u8(0).table({}));
+  }
+}
+
+bool Channel::content(Frame&& one) {
+  if (content_ == Content::none) return lost("amqp.stray_content");
+  if (one.type == FrameType::header) {
+    auto read = header_seen_ ? std::nullopt : read_content_header(one.payload);
+    if (!read) return lost("amqp.malformed");
+    header_seen_ = true;
+    body_left_ = read->first;
+    delivery_.properties = std::move(read->second);
+    delivery_.oversized = body_left_ > broker_.longest_body;
+  } else {
+    if (!header_seen_ || one.payload.size() > body_left_) return lost("amqp.malformed");
+    body_left_ -= one.payload.size();
+    if (!delivery_.oversized) delivery_.body += one.payload;
+  }
+  if (body_left_ == 0) content_done();
+  return true;
+}
+
+void Channel::content_done() {
+  const Content kind = std::exchange(content_, Content::none);
+  if (kind != Content::delivery) return;
+  counters_.add("amqp.deliveries");
+  consumer_.delivered(std::move(delivery_));
+}
+
+std::uint64_t Channel::publish(const std::string& queue, const Properties& properties, std::string_view body) {
+  // To the default exchange; mandatory, so that an answer which nobody can get comes back and is counted.
+  say(method::basic_publish, kChannel, Writer().u16(0).short_text("").short_text(queue).u8(1));
+  write(frame(FrameType::header, kChannel, content_header(body.size(), properties)));
+  const std::size_t part = frame_most_ - FrameParser::overhead;
+  for (std::size_t at = 0; at < body.size(); at += part) {
+    write(frame(FrameType::body, kChannel, body.substr(at, part)));
+  }
+  counters_.add("amqp.published");
+  return ++published_;
+}
+
+void Channel::ack(std::uint64_t tag) {
+  counters_.add("amqp.acked");
+  say(method::basic_ack, kChannel, Writer().u64(tag).u8(0));
+}
+
+void Channel::reject(std::uint64_t tag) {
+  counters_.add("amqp.rejected");
+  say(method::basic_reject, kChannel, Writer().u64(tag).u8(0));
+}
+
+void Channel::stop_consuming() {
+  for (std::size_t i = 0; up() && i < broker_.queues.size(); ++i) {
+    say(method::basic_cancel, kChannel, Writer().short_text(consumer_tag(i)).u8(0));
+  }
+}
+
+void Channel::close() {
+  if (!up()) return end_later();
+  state_ = State::closing;
+  say(method::connection_close, 0, Writer().u16(200).short_text("goodbye").u16(0).u16(0));
+}
+
+void Channel::beat() {
+  if (interval_.count() <= 0) return;
+  write(frame(FrameType::heartbeat, 0, {}));
+  beat_ = loop().at(loop().now() + interval_ / 2, [this] { beat(); });
+}
+
+void Channel::watch_quiet() {
+  loop().cancel(quiet_);
+  if (interval_.count() <= 0) return;
+  quiet_ = loop().at(loop().now() + interval_ * 2, [this] { lost("amqp.quiet"); });
+}
+
+}  // namespace lotusyard::amqp
--- /dev/null
+++ b/src/amqp/front.cpp
@@ -0,0 +1,259 @@
+#include "amqp/front.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "net/fields.h"
+
+namespace lotusyard::amqp {
+namespace {
+
+using core::Millis;
+using core::Verdict;
+
+constexpr Millis kPauseFirst{100}, kPauseMost{5000};  // between attempts to reach the broker
+constexpr Millis kResendAfter{200};
+constexpr std::size_t kAddressesKept = 8;
+constexpr std::uint64_t kLongestAllow = 3600 * 1000;
+
+std::string text_of(const Table& headers, const std::string& name) {
+  const auto found = headers.find(name);
+  if (found == headers.end()) return {};
+  if (const auto* text = std::get_if<std::string>(&found->second)) return *text;
+  if (const auto* whole = std::get_if<std::int64_t>(&found->second)) return std::to_string(*whole);
+  if (const auto* real = std::get_if<double>(&found->second)) return std::to_string(*real);
+  return {};
+}
+
+// A message without an id is told from others by where its answer goes.
+std::string id_of(const Properties& p) {
+  return p.message_id.empty() ? "\n" + p.reply_to + "\n" + p.correlation_id : p.message_id;
+}
+
+const robinfold::ClassSettings* class_named(const core::Settings& settings, const std::string& name) {
+  for (const auto& c : settings.classes) {
+    if (c.name == name) return &c;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Front::Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
+             const core::Settings& settings, Broker broker, Limits limits)
+    : loop_(loop),
+      pool_(pool),
+      dispatcher_(dispatcher),
+      counters_(counters),
+      settings_(settings),
+      broker_(std::move(broker)),
+      limits_(limits),
+      memory_(limits.remembered, limits.remembered_bytes),
+      last_ref_(settings.seed) {}
+
+Front::~Front() {
+  loop_.cancel(reconnect_);
+  loop_.cancel(resend_);
+}
+
+void Front::connect() {
+  net::Socket socket = net::connect_to(broker_.address);
+  if (!socket) return channel_down();
+  Consumer& consumer = *this;
+  channel_ = std::make_shared<Channel>(loop_, pool_, counters_, broker_, consumer, std::move(socket));
+}
+
+void Front::channel_up() {
+  counters_.add("amqp.up");
+  pause_ = Millis(0);
+  resend();
+}
+
+// Deliveries that are not acknowledged come again, here or elsewhere; the tags of this channel mean nothing now.
+void Front::channel_down() {
+  counters_.add("amqp.down");
+  unconfirmed_.clear();
+  unsent_.clear();
+  memory_.forget_waiters();
+  if (channel_) loop_.bury(std::move(channel_));
+  channel_.reset();
+  loop_.cancel(reconnect_);
+  if (draining_) return;
+  pause_ = std::min(std::max(pause_ * 2, kPauseFirst), kPauseMost);
+  reconnect_ = loop_.at(loop_.now() + pause_, [this] { connect(); });
+}
+
+void Front::drain() {
+  draining_ = true;
+  loop_.cancel(reconnect_);
+  if (channel_) channel_->stop_consuming();
+}
+
+bool Front::done() const {
+  return running_.empty() && (!channel_ || !channel_->up() || (unconfirmed_.empty() && unsent_.empty()));
+}
+
+void Front::close() {
+  if (channel_) channel_->close();
+}
+
+bool Front::read_call(const Delivery& delivery, core::Call& out) const {
+  const Table& headers = delivery.properties.headers;
+  const auto* cls = class_named(settings_, text_of(headers, "class"));
+  const auto function = net::parse_hex16(text_of(headers, "lookup"));
+  if (delivery.oversized || delivery.properties.message_id.empty() || cls == nullptr || !function) return false;
+  const std::string allow = text_of(headers, "allow"), memory = text_of(headers, "memory_mb");
+  const std::string lanes = text_of(headers, "lanes");
+  const auto allowed = net::parse_whole(allow, kLongestAllow);
+  if (!allow.empty() && (!allowed || *allowed == 0)) return false;
+  const auto megabytes = net::parse_number(memory);
+  if (!memory.empty() && (!megabytes || *megabytes < 0)) return false;
+  const auto at_once = net::parse_whole(lanes, 1024);
+  if (!lanes.empty() && (!at_once || *at_once == 0)) return false;
+  out.class_name = cls->name;
+  out.tenant = text_of(headers, "project");
+  out.function = *function;
+  out.function_name = text_of(headers, "lookup");
+  out.effort = net::parse_number(text_of(headers, "effort"));
+  out.memory_mb = megabytes.value_or(0);
+  out.lanes = static_cast<int>(at_once.value_or(1));
+  out.arrived = loop_.now();
+  out.allow = allowed ? Millis(static_cast<double>(*allowed)) : cls->deadline;
+  return true;
+}
+
+void Front::delivered(Delivery&& delivery) {
+  const Properties& p = delivery.properties;
+  const std::uint64_t tag = delivery.tag;
+  if (p.reply_to.empty() || (p.correlation_id.empty() && p.message_id.empty())) {
+    counters_.add("amqp.unanswerable");
+    return channel_->reject(tag);
+  }
+  const Address address{p.reply_to, p.correlation_id.empty() ? p.message_id : p.correlation_id};
+  const std::string id = id_of(p);
+  if (Remembered* known = memory_.find(id)) {
+    if (!known->answer) {
+      counters_.add("amqp.joined");
+      known->waiters.push_back({tag, address});
+      return;
+    }
+    // One sent anew after a refusal, or a failure that does no harm, is a further try.
+    const bool harmless = known->answer->verdict == Verdict::refused ||
+                          (known->answer->verdict == Verdict::failed && !known->once);
+    if (delivery.redelivered || !harmless) {
+      counters_.add("amqp.remembered");
+      return answer_delivery(id, tag, address, delivery.redelivered);
+    }
+  }
+  core::Call call;
+  if (!read_call(delivery, call)) {
+    refuse_call(id, false, Verdict::failed, "amqp.bad_call");
+    return answer_delivery(id, tag, address, delivery.redelivered);
+  }
+  const auto* cls = class_named(settings_, call.class_name);
+  const bool once = cls->semantics == robinfold::Semantics::once;
+  // Danger: another process, or this one before a restart or in a time now forgotten, may have run it.
+  if (once && delivery.redelivered) {
+    refuse_call(id, once, Verdict::failed, "amqp.may_have_run");
+    return answer_delivery(id, tag, address, delivery.redelivered);
+  }
+  if (running_.size() >= limits_.open_calls) {
+    refuse_call(id, once, Verdict::refused, "amqp.too_many_open");
+    return answer_delivery(id, tag, address, delivery.redelivered);
+  }
+  // The hosts want 16 hex digits that no open call has; ids of messages may be anything.
+  call.ref = net::hex16(++last_ref_);
+  call.body = std::move(delivery.body);
+  memory_.begin(id, once).waiters.push_back({tag, address});
+  const core::CallId number = dispatcher_.next_id();
+  running_[number] = id;
+  if (dispatcher_.take(number, std::move(call), *this)) return;
+  answer(number, core::Answer());
+}
+
+void Front::refuse_call(const std::string& id, bool once, Verdict verdict, const char* why) {
+  counters_.add(why);
+  memory_.begin(id, once);
+  memory_.end(id, {verdict, Millis(0), {}});
+}
+
+void Front::answer(core::CallId call, core::Answer&& answer) {
+  const auto found = running_.find(call);
+  if (found == running_.end()) return;
+  const std::string id = found->second;
+  running_.erase(found);
+  Remembered* known = memory_.find(id);
+  if (known == nullptr) return;
+  const auto waiters = std::move(known->waiters);
+  known->waiters.clear();
+  memory_.end(id, std::move(answer));
+  if (waiters.empty()) counters_.add("amqp.answers_kept");  // until its delivery comes again
+  for (const auto& waiter : waiters) answer_delivery(id, waiter.tag, waiter.address, true);
+}
+
+// One answer for each address: a further delivery of the same call waits for the same confirm, or needs none.
+void Front::answer_delivery(const std::string& id, std::uint64_t tag, const Address& address, bool redelivered) {
+  const auto same = [&](const Publishing& p) { return p.id == id && p.address == address; };
+  for (auto& [number, publishing] : unconfirmed_) {
+    if (same(publishing)) return publishing.tags.push_back(tag);
+  }
+  for (auto& publishing : unsent_) {
+    if (same(publishing)) return publishing.tags.push_back(tag);
+  }
+  const Remembered& known = *memory_.find(id);
+  const bool held = std::find(known.confirmed.begin(), known.confirmed.end(), address) != known.confirmed.end();
+  if (held && redelivered) return channel_->ack(tag);  // only our ack was lost, not the answer
+  publish({id, address, known.answer, {tag}});
+}
+
+void Front::publish(Publishing&& publishing) {
+  if (!channel_->may_publish()) {
+    unsent_.push_back(std::move(publishing));
+    return;
+  }
+  const core::Answer& answer = *publishing.answer;
+  static const char* const words[] = {"OK", "BUSY", "FAILED"};
+  Properties p;
+  p.content_type = "application/octet-stream";
+  p.correlation_id = publishing.address.correlation_id;
+  if (publishing.id.front() != '\n') p.message_id = publishing.id;
+  p.delivery_mode = 2;
+  p.headers["word"] = std::string(words[static_cast<std::size_t>(answer.verdict)]);
+  if (answer.cooldown.count() > 0) {
+    p.headers["cooldown"] = static_cast<std::int64_t>(std::ceil(answer.cooldown.count()));
+  }
+  const std::uint64_t number = channel_->publish(publishing.address.reply_to, p, answer.body);
+  unconfirmed_.emplace(number, std::move(publishing));
+}
+
+void Front::confirmed(std::uint64_t number, bool multiple, bool taken) {
+  const auto first = multiple ? unconfirmed_.begin() : unconfirmed_.find(number);
+  const auto last = multiple ? unconfirmed_.upper_bound(number) : first == unconfirmed_.end() ? first : std::next(first);
+  std::vector<Publishing> ended;
+  for (auto i = first; i != last; ++i) ended.push_back(std::move(i->second));
+  unconfirmed_.erase(first, last);
+  for (auto& publishing : ended) {
+    if (!taken) {
+      counters_.add("amqp.nacked");
+      unsent_.push_back(std::move(publishing));
+      loop_.cancel(resend_);
+      resend_ = loop_.at(loop_.now() + kResendAfter, [this] { resend(); });
+      continue;
+    }
+    if (Remembered* known = memory_.find(publishing.id)) {
+      if (known->confirmed.size() >= kAddressesKept) known->confirmed.erase(known->confirmed.begin());
+      known->confirmed.push_back(publishing.address);
+    }
+    for (const auto tag : publishing.tags) channel_->ack(tag);
+  }
+}
+
+void Front::resend() {
+  for (std::size_t left = unsent_.size(); left > 0 && channel_ && channel_->may_publish(); --left) {
+    Publishing next = std::move(unsent_.front());
+    unsent_.pop_front();
+    publish(std::move(next));
+  }
+}
+
+}  // namespace lotusyard::amqp
--- /dev/null
+++ b/src/amqp/front.h
@@ -0,0 +1,70 @@
+// The second front: deliveries of a broker are calls, and their answers are published to where they say.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "amqp/channel.h"
+#include "amqp/memory.h"
+#include "core/counters.h"
+#include "core/dispatcher.h"
+#include "net/loop.h"
+
+namespace lotusyard::amqp {
+
+class Front final : public core::Front, private Consumer {
+ public:
+  struct Limits {
+    std::size_t open_calls = 256, remembered = 10000, remembered_bytes = 16U << 20;
+  };
+  Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
+        const core::Settings& settings, Broker broker, Limits limits);
+  ~Front() override;
+
+  void start() { connect(); }
+  void drain();       // nothing new; what was taken is answered
+  bool done() const;  // all answers that can be given on this connection are confirmed
+  void close();
+
+  void answer(core::CallId call, core::Answer&& answer) override;
+
+ private:
+  struct Publishing {
+    std::string id;  // of the call, in the memory
+    Address address;
+    std::shared_ptr<const core::Answer> answer;
+    std::vector<std::uint64_t> tags;  // deliveries that are acknowledged once the broker has it
+  };
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  core::Dispatcher& dispatcher_;
+  core::Counters& counters_;
+  core::Settings settings_;
+  Broker broker_;
+  Limits limits_;
+  Memory memory_;
+  std::shared_ptr<Channel> channel_;
+  std::unordered_map<core::CallId, std::string> running_;
+  std::map<std::uint64_t, Publishing> unconfirmed_;
+  std::deque<Publishing> unsent_;  // refused by the broker, or it has asked for a pause
+  net::Loop::TimerId reconnect_{}, resend_{};
+  core::Millis pause_{0};
+  std::uint64_t last_ref_ = 0;
+  bool draining_ = false;
+
+  void connect();
+  void channel_up() override;
+  void channel_down() override;
+  void delivered(Delivery&& delivery) override;
+  void confirmed(std::uint64_t number, bool multiple, bool taken) override;
+  bool read_call(const Delivery& delivery, core::Call& out) const;
+  void refuse_call(const std::string& id, bool once, core::Verdict verdict, const char* why);
+  void answer_delivery(const std::string& id, std::uint64_t tag, const Address& address, bool redelivered);
+  void publish(Publishing&& publishing);
+  void resend();
+};
+
+}  // namespace lotusyard::amqp
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,7 +1,7 @@
 #include "config/config.h"
 
 #include <fstream>
-#include <functional>
+#include <random>
 
 #include "config/json_read.h"
 #include "config/settings.h"
@@ -41,8 +41,57 @@
   return read;
 }
 
+std::string needed_text(const json& from, const char* name, const std::string& path, const char* otherwise) {
+  const json& value = key(from, name);
+  if (value.is_null() && otherwise != nullptr) return otherwise;
+  if (!value.is_string() || value.get_ref<const std::string&>().empty()) fault(path, "a text is needed");
+  return value.get<std::string>();
+}
+
+template <typename T>
+T whole_within(const json& from, const char* name, const std::string& path, T missing, double least, double most) {
+  return static_cast<T>(number_within(from, name, path, static_cast<double>(missing), least, most));
+}
+
+AmqpConfig read_amqp(const json& from) {
+  if (!from.is_object()) fault("amqp", "an object is needed");
+  AmqpConfig out;
+  out.broker = needed_text(from, "broker", "amqp.broker", nullptr);
+  if (!net::valid_address(out.broker)) fault("amqp.broker", "no numeric address with a port: '" + out.broker + "'");
+  out.user = needed_text(from, "user", "amqp.user", "guest");
+  out.password = needed_text(from, "password", "amqp.password", "guest");
+  out.vhost = needed_text(from, "vhost", "amqp.vhost", "/");
+  const json& queues = key(from, "queues");
+  if (!queues.is_array() || queues.empty()) fault("amqp.queues", "at least one name is needed");
+  for (const auto& queue : queues) {
+    const std::string name = text(queue);
+    if (name.empty() || name.size() > 255) fault("amqp.queues", "a name has 1 to 255 bytes");
+    out.queues.push_back(name);
+  }
+  out.prefetch = whole_within(from, "prefetch", "amqp.prefetch", out.prefetch, 1, 1000);
+  out.heartbeat_s = whole_within(from, "heartbeat_s", "amqp.heartbeat_s", out.heartbeat_s, 0, 600);
+  out.body_kb = whole_within(from, "body_kb", "amqp.body_kb", out.body_kb, 1, 1024);
+  out.open_calls = whole_within(from, "open_calls", "amqp.open_calls", out.open_calls, 1, 10000);
+  out.remembered = whole_within(from, "remembered", "amqp.remembered", out.remembered, 1, 1e6);
+  out.remembered_mb = whole_within(from, "remembered_mb", "amqp.remembered_mb", out.remembered_mb, 1, 1e4);
+  return out;
+}
+
+XdsConfig read_xds(const json& from) {
+  if (!from.is_object()) fault("xds", "an object is needed");
+  XdsConfig out;
+  out.file = needed_text(from, "file", "xds.file", nullptr);
+  out.cluster = needed_text(from, "cluster", "xds.cluster", nullptr);
+  out.reread = Millis(number_within(from, "reread_ms", "xds.reread_ms", out.reread.count(), 10, 1500));
+  return out;
+}
+
 std::uint64_t read_seed(const json& file) {
   const json& value = key(file, "seed");
+  if (value.is_null() && !key(file, "amqp").is_null()) {  // an operator's file need not make one up
+    std::random_device source;
+    return static_cast<std::uint64_t>(source()) << 32 | source();
+  }
   if (value.is_number_unsigned()) return value.get<std::uint64_t>();
   const auto read = value.is_string() ? net::parse_hex16(value.get<std::string>()) : std::nullopt;
   if (!read) fault("seed", "16 hex digits are needed");
@@ -74,8 +123,11 @@
 Config read_config(const json& file, const std::string& name, const std::string& listen) {
   Config out;
   out.name = key(file, "name").is_string() ? text(key(file, "name")) : name;
-  out.listen = address(file, "listen", listen);
-  out.changelog = address(file, "changelog", "");
+  if (!key(file, "amqp").is_null()) out.amqp = read_amqp(key(file, "amqp"));
+  if (!key(file, "xds").is_null()) out.xds = read_xds(key(file, "xds"));
+  const bool listens = !out.amqp || !key(file, "listen").is_null();
+  if (listens) out.listen = address(file, "listen", listen);
+  if (!out.xds) out.changelog = address(file, "changelog", "");
   out.seed = read_seed(file);
   const json& limits = key(file, "limits");
   if (!limits.is_null() && !limits.is_object()) fault("limits", "an object is needed");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "robinfold/policy.h"
 
@@ -15,8 +17,24 @@
   using std::runtime_error::runtime_error;
 };
 
+// AMQP triggers, off unless the file has a part `amqp`.
+struct AmqpConfig {
+  std::string broker, user = "guest", password = "guest", vhost = "/";
+  std::vector<std::string> queues;
+  std::uint16_t prefetch = 32, heartbeat_s = 10;
+  std::size_t body_kb = 16, open_calls = 256, remembered = 10000, remembered_mb = 16;
+};
+
+// Envoy's list of hosts, in place of the change log.
+struct XdsConfig {
+  std::string file, cluster;
+  robinfold::Millis reread{500};
+};
+
 struct Config {
-  std::string name, listen, changelog;
+  std::string name, listen, changelog;  // listen: empty where only triggers bring calls
+  std::optional<AmqpConfig> amqp;
+  std::optional<XdsConfig> xds;
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192, sockets = 1024;
   std::uint64_t known_seq = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,18 +1,19 @@
 // Wires the parts of one invoker together, and ends it as the platform asks.
-#include <sys/resource.h>
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <iostream>
 
+#include "amqp/front.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
 #include "feed/feed.h"
 #include "hosts/fleet.h"
 #include "net/loop.h"
 #include "resp/front.h"
+#include "xds/hosts.h"
 
 namespace lotusyard {
 namespace {
@@ -64,8 +65,21 @@
   return value == nullptr ? std::string() : value;
 }
 
-int run() {
-  const auto config = config::read_config(config::read_json_file(environment("BALANCER_CONFIG")),
+amqp::Broker broker_of(const config::AmqpConfig& from) {
+  amqp::Broker out;
+  out.address = from.broker;
+  out.user = from.user;
+  out.password = from.password;
+  out.vhost = from.vhost;
+  out.queues = from.queues;
+  out.prefetch = from.prefetch;
+  out.heartbeat_s = from.heartbeat_s;
+  out.longest_body = from.body_kb << 10;
+  return out;
+}
+
+int run(const std::string& file) {
+  const auto config = config::read_config(config::read_json_file(file),
                                           environment("BALANCER_NAME"), environment("BALANCER_LISTEN"));
   net::Loop loop;
   Wake wake(loop);
@@ -98,10 +112,19 @@
     told(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
   }
   log.skip_to(config.known_seq);
-  feed::Feed feed(loop, pool, counters, config.changelog, log, [&](const core::MemberList& list) {
+  const auto told_later = [&](const core::MemberList& list) {
     told(list, list.complete ? core::ListKind::full : core::ListKind::delta);
-  });
-  feed.start();
+  };
+  std::optional<feed::Feed> feed;
+  std::optional<xds::HostFile> host_file;
+  if (config.xds) {
+    host_file.emplace(loop, counters, config.xds->file, config.xds->cluster, config.xds->reread, told_later);
+    std::string fault;
+    if (!host_file->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
+  } else {
+    feed.emplace(loop, pool, counters, config.changelog, log, told_later);
+    feed->start();
+  }
 
   std::set<std::string> classes;
   Millis longest = kLeastKill;
@@ -113,8 +136,20 @@
   front_limits.clients = config.sockets / 3 + 8;
   front_limits.body_bytes = quarter;
   resp::Front front(loop, pool, dispatcher, counters, classes, front_limits);
-  if (!front.listen(config.listen)) throw config::ConfigError("configuration: listen: cannot listen on " + config.listen);
-  std::cout << "lotusyard " << config.name << " listens on " << config.listen << std::endl;
+  if (!config.listen.empty()) {
+    if (!front.listen(config.listen)) {
+      throw config::ConfigError("configuration: listen: cannot listen on " + config.listen);
+    }
+    std::cout << "lotusyard " << config.name << " listens on " << config.listen << std::endl;
+  }
+  std::optional<amqp::Front> triggers;
+  if (config.amqp) {
+    triggers.emplace(loop, pool, dispatcher, counters, config.settings, broker_of(*config.amqp),
+                     amqp::Front::Limits{config.amqp->open_calls, config.amqp->remembered,
+                                         config.amqp->remembered_mb << 20});
+    triggers->start();
+    std::cout << "lotusyard " << config.name << " takes triggers from " << config.amqp->broker << std::endl;
+  }
 
   Millis told_to_end{0};
   while (true) {
@@ -128,12 +163,17 @@
     if (g_terminate != 0 && told_to_end.count() == 0) {
       told_to_end = loop.now();
       front.drain();
+      if (triggers) triggers->drain();
     }
     if (told_to_end.count() == 0) continue;
     const Millis since = loop.now() - told_to_end;
     if (since > kListenFor) front.stop_listening();
-    if (since > kComingFor && ((front.open_calls() == 0 && front.written()) || since > longest + kKillSlack)) break;
+    if (since <= kComingFor) continue;
+    const bool all_ended = front.open_calls() == 0 && front.written() && (!triggers || triggers->done());
+    if (all_ended || since > longest + kKillSlack) break;
   }
+  if (triggers) triggers->close();
+  loop.turn(loop.now(), [] {});
   counters.print(std::cout);
   return 0;
 }
@@ -141,9 +181,13 @@
 }  // namespace
 }  // namespace lotusyard
 
-int main() {
+int main(int count, char** words) {
+  if (count > 2) {
+    std::cerr << "usage: lotusyard [FILE]   the configuration; without it the one that BALANCER_CONFIG names\n";
+    return 2;
+  }
   try {
-    return lotusyard::run();
+    return lotusyard::run(count == 2 ? words[1] : lotusyard::environment("BALANCER_CONFIG"));
   } catch (const std::exception& fault) {
     std::cerr << "lotusyard: " << fault.what() << std::endl;
     return 1;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -65,13 +65,13 @@
   return std::all_of(clients_.begin(), clients_.end(), [](const auto& c) { return c->outbox().empty(); });
 }
 
-// A place for one more client: the one longest unheard with no call open makes it.
+// Keeps to the bound: the client longest unheard with no call open makes the place.
 bool Front::make_room() {
-  if (clients_.size() < limits_.clients) return true;
-  const auto idle = std::find_if(clients_.begin(), clients_.end(), [](const auto& c) {
+  if (clients_.size() <= limits_.clients) return true;
+  const auto idle = std::find_if(clients_.begin(), std::prev(clients_.end()), [](const auto& c) {
     return c->open_calls.empty() && c->outbox().empty();
   });
-  if (idle == clients_.end()) return false;
+  if (idle == std::prev(clients_.end())) return false;
   counters_.add("resp.idle_closed");
   const std::shared_ptr<Client> kept = *idle;
   kept->end_later();
@@ -81,17 +81,16 @@
 
 void Front::ready(short) {
   for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
-    if (!make_room()) {
-      // Danger: a listener that stays readable would spin the loop. The next client to go opens it again.
-      full_ = true;
-      loop_.forget(listener_.fd(), *this);
-      return;
-    }
     net::Socket socket = net::accept_from(listener_);
     if (!socket) return;
     counters_.add("resp.connections");
     clients_.push_back(std::make_shared<Client>(*this, std::move(socket)));
     clients_.back()->place = std::prev(clients_.end());
+    if (make_room()) continue;
+    // Danger: a listener that stays readable would spin the loop. The next client to go opens it again.
+    full_ = true;
+    loop_.forget(listener_.fd(), *this);
+    return;
   }
 }
 
--- a/src/resp/parser.cpp
+++ b/src/resp/parser.cpp
@@ -62,8 +62,8 @@
       if (state_ == State::data && bytes_left_ == 0) state_ = State::data_end;
     } else if (c == '\r') {
       return_seen_ = true;
-    } else if (line_.size() >= kLongestHeader) {
-      state_ = State::spoilt;  // guards memory against a header without an end
+    } else if (state_ == State::data_end || line_.size() >= kLongestHeader) {
+      state_ = State::spoilt;  // a word past its length, or a header that would grow without end
     } else {
       line_.push_back(c);
     }
--- a/src/simhost/wire.h
+++ b/src/simhost/wire.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "config/settings.h"
 #include "robinfold/policy.h"
 
 namespace robinfold::simhost {
@@ -34,6 +35,7 @@
   void take(Instance& instance, Millis now, const nlohmann::json& message, std::vector<Action>& out);
 };
 
+using lotusyard::config::read_settings;
 nlohmann::json write_action(const Action& action);
 
 }  // namespace robinfold::simhost
--- /dev/null
+++ b/tests/lotusyard/config_test.cpp
@@ -0,0 +1,125 @@
+// The one reader of configuration, and Envoy's list of hosts.
+#include "config/config.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "helper.h"
+#include "xds/hosts.h"
+
+namespace lotusyard::test {
+namespace {
+
+using nlohmann::json;
+
+json good() {
+  return json::parse(R"({"name":"n3","listen":"127.0.0.1:5050","seed":"8c1f30d27a5be964","changelog":"127.0.0.1:9092",
+    "limits":{"memory_mb":192,"sockets":1024},"known":{"seq":0,"results":[]},
+    "settings":{"Classes":[{"Name":"bin-check","HardLimit":2000}],"Bounds":{"SendCap":4},"LoadInfo":{"Fields":["util"]}}})");
+}
+std::string fault_of(const json& file) {
+  try {
+    config::read_config(file, "", "");
+  } catch (const config::ConfigError& fault) { return fault.what(); }
+  return {};
+}
+
+TEST_CASE("a faulty configuration is refused by the name of its key") {
+  CHECK(fault_of(good()).empty());
+  const std::vector<std::pair<const char*, json>> faults = {
+      {"/listen", "here"},          {"/seed", "12"},          {"/changelog", 5},
+      {"/limits/memory_mb", -1},    {"/limits/sockets", "a"}, {"/known/seq", "x"},
+      {"/settings/Classes", json()}, {"/settings/Bounds/SendCap", 0}, {"/settings/Classes/0/HardLimit", 0}};
+  for (const auto& [path, value] : faults) {
+    json file = good();
+    const json::json_pointer at{std::string(path)};
+    file[at] = value;
+    const std::string key = at.back() == "HardLimit" ? at.back() : std::string(path + 1);
+    std::string dotted = key;
+    std::replace(dotted.begin(), dotted.end(), '/', '.');
+    CHECK_THAT(fault_of(file), Catch::Contains(dotted));
+  }
+}
+
+TEST_CASE("triggers need a broker and queues, and make platform keys optional") {
+  json file = good();
+  file.erase("listen");
+  file.erase("changelog");
+  file.erase("seed");
+  file["amqp"] = {{"broker", "127.0.0.1:5672"}, {"queues", {"calls"}}};
+  file["xds"] = {{"file", "hosts.json"}, {"cluster", "bins"}};
+  CHECK(fault_of(file).empty());
+  file["amqp"]["queues"] = json::array();
+  CHECK_THAT(fault_of(file), Catch::Contains("amqp.queues"));
+  file["amqp"] = {{"broker", "rabbit"}, {"queues", {"calls"}}};
+  CHECK_THAT(fault_of(file), Catch::Contains("amqp.broker"));
+  file["amqp"] = {{"broker", "127.0.0.1:5672"}, {"queues", {"calls"}}, {"prefetch", 0}};
+  CHECK_THAT(fault_of(file), Catch::Contains("amqp.prefetch"));
+  file.erase("amqp");
+  CHECK_THAT(fault_of(file), Catch::Contains("seed") || Catch::Contains("listen"));
+}
+
+json endpoint(int port, const json& health) {
+  return {{"endpoint", {{"address", {{"socket_address", {{"address", "127.0.0.1"}, {"port_value", port}}}}}}},
+          {"health_status", health}};
+}
+json assignment(const json& endpoints) {
+  return {{"@type", "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"},
+          {"cluster_name", "bins"},
+          {"endpoints", json::array({{{"locality", {{"zone", "osborne-park"}}}, {"lb_endpoints", endpoints}}})}};
+}
+
+TEST_CASE("xDS endpoints are hosts: DRAINING drains, the unhealthy get nothing new, half a file changes nothing") {
+  std::string fault;
+  const auto list = xds::read_hosts(
+      assignment(json::array({endpoint(1, "HEALTHY"), endpoint(2, "DRAINING"), endpoint(3, "UNHEALTHY"), endpoint(4, json()),
+                  endpoint(5, 3)})), "bins", fault);
+  REQUIRE(list);
+  std::string states;
+  for (const auto& m : list->members) states += m.entry.state == core::WorkerState::ready ? 'r' : 'd';
+  CHECK(states == "rddrd");
+  CHECK(list->members[1].address == "127.0.0.1:2");
+  CHECK(list->members[0].entry.zone == "osborne-park");
+  const json cluster = {{"@type", "type.googleapis.com/envoy.config.cluster.v3.Cluster"}, {"name", "bins-by-eds"},
+                        {"type", "EDS"}, {"edsClusterConfig", {{"serviceName", "bins"}}}};
+  const json both = {{"resources", json::array({cluster, assignment(json::array({endpoint(1, "HEALTHY")}))})}};
+  CHECK(xds::read_hosts(both, "bins-by-eds", fault)->members.size() == 1);
+  CHECK_FALSE(xds::read_hosts(both, "other", fault));
+  CHECK_FALSE(xds::read_hosts(assignment(json::array({endpoint(1, "HEALTHY"), endpoint(0, "HEALTHY")})), "bins", fault));
+  CHECK_FALSE(xds::read_hosts(assignment(json::array({endpoint(1, "HEALTHY"), endpoint(1, "HEALTHY")})), "bins", fault));
+}
+
+TEST_CASE("an xDS file is read again when it changes; what was added has just started") {
+  net::Loop loop;
+  core::Counters counters;
+  char path[] = "/tmp/lotusyard-xds-XXXXXX";
+  const net::Socket made(mkstemp(path));
+  const auto write = [&](const std::string& text) {
+    const std::string next = std::string(path) + ".next";
+    std::ofstream(next) << text;
+    REQUIRE(std::rename(next.c_str(), path) == 0);
+  };
+  std::vector<core::MemberList> told;
+  write(assignment(json::array({endpoint(1, "HEALTHY")})).dump());
+  xds::HostFile file(loop, counters, path, "bins", Millis(10), [&](const auto& list) { told.push_back(list); });
+  std::string fault;
+  REQUIRE(file.start(fault));
+  const auto wait_for = [&](const char* counter, std::uint64_t value) {
+    for (int i = 0; i < 2000 && counters.value(counter) < value; ++i) loop.turn(loop.now() + Millis(20), [] {});
+    return counters.value(counter) == value;
+  };
+  write(assignment(json::array({endpoint(1, "DRAINING"), endpoint(2, "HEALTHY")})).dump());
+  REQUIRE(wait_for("xds.lists", 2));
+  CHECK(told[1].members[0].entry.state == core::WorkerState::draining);
+  CHECK(told[1].members[0].entry.started == Millis(0));
+  CHECK(told[1].members[1].entry.started > Millis(0));
+  write("{\"half\": ");
+  REQUIRE(wait_for("xds.rejected", 1));
+  CHECK(told.size() == 2);
+  std::remove(path);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/core_test.cpp
@@ -0,0 +1,145 @@
+// A request's life, under a clock and hosts that the test plays itself.
+#include "helper.h"
+
+namespace lotusyard::test {
+namespace {
+
+// Hosts that only note; a front that only counts. Both check the rules on whatever they are told.
+struct Desk final : core::Hosts, core::Front {
+  struct Out {
+    std::string body, host;
+    bool out = true;
+  };
+  std::map<core::Attempt, Out> attempts;
+  std::map<core::CallId, std::vector<core::Answer>> answers;
+  std::vector<std::pair<std::string, std::uint64_t>> orders;
+  void exec(const core::Attempt& a, const std::string& host, const core::Call& call, Millis patience) override {
+    CHECK(patience.count() > 0);
+    CHECK(answers.count(a.call) == 0);
+    for (const auto& [other, o] : attempts) CHECK_FALSE((other.call == a.call && o.out));
+    CHECK(a.number < 4);
+    attempts[a] = {call.body, host};
+  }
+  bool drop(const core::Attempt& a) override {
+    const auto found = attempts.find(a);
+    return found != attempts.end() && std::exchange(found->second.out, false);
+  }
+  void probe(const std::string&) override {}
+  void ensure(const std::string& host, std::uint64_t function, int) override { orders.emplace_back(host, function); }
+  void release(const std::string&, std::uint64_t) override {}
+  void answer(core::CallId call, core::Answer&& answer) override { answers[call].push_back(std::move(answer)); }
+};
+
+struct Bench {
+  Millis now{1000};
+  Desk desk;
+  core::Counters counters;
+  core::Dispatcher dispatcher{settings(), [this] { return now; }, desk, counters};
+  explicit Bench(int hosts) {
+    core::HostList list;
+    for (int i = 0; i < hosts; ++i) {
+      list.entries.emplace_back();
+      list.entries.back().worker = "h" + std::to_string(i);
+    }
+    dispatcher.members(std::move(list));
+  }
+  core::CallId call(const std::string& cls, const std::string& ref, Millis allow = Millis(1000)) {
+    core::Call c;
+    c.ref = ref;
+    c.class_name = cls;
+    c.function = 7;
+    c.function_name = "0000000000000007";
+    c.memory_mb = 300;
+    c.lanes = 4;
+    c.arrived = now;
+    c.allow = allow;
+    c.body = ref;
+    const core::CallId id = dispatcher.next_id();
+    CHECK(dispatcher.take(id, std::move(c), desk));
+    return id;
+  }
+  void pass(Millis span) {
+    const Millis until = now + span;
+    while (dispatcher.next_due() <= until) {
+      now = std::max(now, dispatcher.next_due());
+      dispatcher.tick();
+    }
+    now = until;
+  }
+};
+
+TEST_CASE("whatever hosts do, a call has one answer in time, one attempt out and no second run of a bin-record") {
+  for (std::uint64_t seed = 0; seed < 40; ++seed) {
+    Random random(seed);
+    Bench b(3);
+    std::map<core::CallId, Millis> deadline;
+    std::map<core::CallId, bool> once, left;
+    std::map<core::CallId, int> may_have_run;
+    std::size_t loads_told = 0;
+    for (int step = 0; step < 400; ++step) {
+      if (below(random, 4) == 0) {
+        const bool record = below(random, 2) == 0;
+        const Millis allow(50.0 + static_cast<double>(below(random, 900)));
+        const auto id = b.call(record ? "bin-record" : "bin-check", "r" + std::to_string(step), allow);
+        deadline[id] = b.now + allow;
+        once[id] = record;
+      }
+      for (const auto& order : std::vector<std::pair<std::string, std::uint64_t>>(
+               b.desk.orders.begin() + static_cast<std::ptrdiff_t>(loads_told), b.desk.orders.end())) {
+        ++loads_told;
+        const bool good = below(random, 4) != 0;
+        b.dispatcher.load_ended({order.first, order.second, good ? core::Outcome::ok : core::Outcome::full,
+                                 Millis(200), good ? 1 : 0});
+      }
+      const auto now_out = b.desk.attempts;
+      for (const auto& [attempt, o] : now_out) {
+        if (!b.desk.attempts[attempt].out || below(random, 3) != 0) continue;
+        const auto outcome = static_cast<core::Outcome>(below(random, 9));
+        if (outcome == core::Outcome::timeout || outcome == core::Outcome::cancelled) continue;
+        b.desk.attempts[attempt].out = false;
+        if (!robinfold::proves_never_ran(outcome)) ++may_have_run[attempt.call];
+        b.dispatcher.attempt_ended(attempt, {outcome, 0, std::nullopt, o.body});
+      }
+      if (below(random, 10) == 0 && !deadline.empty()) {
+        const auto id = std::next(deadline.begin(), static_cast<std::ptrdiff_t>(below(random, deadline.size())))->first;
+        if (b.desk.answers.count(id) == 0) {
+          left[id] = true;
+          b.dispatcher.leave(id);
+        }
+      }
+      b.pass(Millis(static_cast<double>(below(random, 40))));
+      for (const auto& [id, at] : deadline) {
+        if (b.now > at + Millis(16) && !left[id]) CHECK(b.desk.answers[id].size() == 1);
+      }
+    }
+    b.pass(Millis(3000));
+    CHECK(b.dispatcher.open() == 0);
+    for (const auto& [id, at] : deadline) {
+      const auto& answers = b.desk.answers[id];
+      CHECK(answers.size() == (left[id] ? 0U : 1U));
+      if (once[id]) CHECK(may_have_run[id] <= 1);
+      if (!answers.empty() && answers[0].verdict == core::Verdict::refused) CHECK(may_have_run[id] == 0);
+    }
+    for (const auto& [attempt, o] : b.desk.attempts) CHECK_FALSE(o.out);
+  }
+}
+
+TEST_CASE("a ref that is open is not taken twice") {
+  Bench b(1);
+  b.call("bin-check", "same");
+  core::Call again;
+  again.ref = "same";
+  again.allow = Millis(1000);
+  CHECK_FALSE(b.dispatcher.take(b.dispatcher.next_id(), std::move(again), b.desk));
+}
+
+TEST_CASE("a call for which there is no host is answered by its deadline") {
+  Bench b(0);
+  const auto id = b.call("bin-record", "r");
+  b.pass(Millis(1016));
+  REQUIRE(b.desk.answers[id].size() == 1);
+  CHECK(b.desk.answers[id][0].verdict == core::Verdict::refused);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/helper.h
@@ -0,0 +1,398 @@
+// What the tests share: random cuts and garbage, stand-in hosts and a stand-in broker on loopback, and the
+// parts of an invoker wired to them. All run on one loop, in turns; random choices come from fixed seeds.
+#pragma once
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "amqp/front.h"
+#include "amqp/methods.h"
+#include "core/dispatcher.h"
+#include "hosts/fleet.h"
+#include "hosts/line_parser.h"
+#include "net/loop.h"
+#include "net/stream.h"
+
+namespace lotusyard::test {
+
+using core::Millis;
+using Random = std::mt19937_64;
+
+inline std::size_t below(Random& random, std::size_t bound) { return random() % bound; }
+
+// The parser must give the same for a message however it is cut.
+template <typename Parser, typename Out>
+std::vector<Out> parse_cut(Random& random, const std::string& bytes, bool& sound) {
+  Parser parser;
+  std::vector<Out> out;
+  sound = true;
+  for (std::size_t at = 0; at < bytes.size() && sound;) {
+    const std::size_t part = std::min(bytes.size() - at, 1 + below(random, 1 + below(random, 40)));
+    sound = parser.take(std::string_view(bytes).substr(at, part), out);
+    at += part;
+  }
+  return out;
+}
+inline std::string garbage(Random& random, const std::string& alphabet) {
+  std::string out(below(random, 400), ' ');
+  for (char& c : out) c = below(random, 3) == 0 ? static_cast<char>(random()) : alphabet[below(random, alphabet.size())];
+  return out;
+}
+
+inline core::Settings settings() {
+  core::Settings s;
+  s.classes.resize(2);
+  s.classes[0].name = "bin-check";
+  s.classes[0].semantics = robinfold::Semantics::repeatable;
+  s.classes[1].name = "bin-record";
+  for (auto& c : s.classes) c.aim = c.deadline = Millis(1500);
+  s.tick = Millis(4);
+  s.answer_grace = Millis(16);
+  s.drain_grace = Millis(2000);
+  s.keep_alive = Millis(9000);
+  s.order_timeout = Millis(10000);
+  s.connect_timeout = Millis(250);
+  s.miss_is_answered = s.orders = s.cancel = true;
+  s.max_attempts = 4;
+  s.seed = 7;
+  return s;
+}
+
+// Accepts connections and keeps them until they end.
+template <typename Peer, typename Owner>
+class Server : public net::Handler {
+ public:
+  Server(net::Loop& loop, net::BufferPool& pool, Owner& owner, const std::string& address = "127.0.0.1:0")
+      : loop_(loop), pool_(pool), owner_(owner), listener_(net::listen_on(address)) {
+    REQUIRE(static_cast<bool>(listener_));
+    address_ = net::bound_address(listener_);
+    loop_.watch(listener_.fd(), *this, POLLIN);
+  }
+  ~Server() override { stop(); }
+  void stop() {
+    if (listener_) loop_.forget(listener_.fd(), *this);
+    listener_.close();
+  }
+  const std::string& address() const { return address_; }
+  std::list<std::shared_ptr<Peer>> peers;
+  void ready(short) override {
+    while (net::Socket socket = net::accept_from(listener_)) {
+      peers.push_back(std::make_shared<Peer>(owner_, loop_, pool_, std::move(socket)));
+    }
+  }
+  void gone(Peer& peer) {
+    for (auto i = peers.begin(); i != peers.end(); ++i) {
+      if (i->get() != &peer) continue;
+      loop_.bury(*i);
+      peers.erase(i);
+      return;
+    }
+  }
+
+ private:
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  Owner& owner_;
+  net::Socket listener_;
+  std::string address_;
+};
+
+// What a stand-in host does with one exec.
+struct Reaction {
+  enum Kind { reply, silence, half, hang_up } kind = reply;
+  std::string word = "data";
+};
+
+class StandInHost {
+ public:
+  StandInHost(net::Loop& loop, net::BufferPool& pool, const std::string& address = "127.0.0.1:0")
+      : server(loop, pool, *this, address) {}
+  class Peer final : public net::Stream {
+   public:
+    Peer(StandInHost& host, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), host_(host) {}
+
+   private:
+    StandInHost& host_;
+    hosts::LineParser parser_;  // its requests have the form of its answers, with the verb first
+    void received(std::string_view bytes) override {
+      std::vector<hosts::Reply> lines;
+      REQUIRE(parser_.take(bytes, lines));
+      for (const auto& line : lines) host_.take(*this, line);
+    }
+    void ended() override { host_.server.gone(*this); }
+  };
+  Server<Peer, StandInHost> server;
+  std::function<Reaction(const std::string& body)> react = [](const std::string&) { return Reaction(); };
+  std::map<std::string, int> runs;  // by body: execs that may have run
+  int execs = 0, drops = 0, orders = 0;
+
+ private:
+  void take(Peer& peer, const hosts::Reply& line) {
+    if (line.id == "drop") ++drops;
+    if (line.id == "ensure") {
+      ++orders;
+      peer.write(line.word + " data count=1\r\n");
+    }
+    if (line.id != "exec") return;
+    ++execs;
+    const Reaction reaction = react(line.body);
+    if (reaction.kind != Reaction::reply || reaction.word == "data" || reaction.word == "failed") ++runs[line.body];
+    const std::string whole = line.word + ' ' + reaction.word + " l=inflight:1;util:0.5 " +
+                              std::to_string(line.body.size()) + "\r\n" + line.body + "\r\n";
+    if (reaction.kind == Reaction::reply) peer.write(whole);
+    if (reaction.kind == Reaction::half) peer.write(whole.substr(0, whole.size() / 2));
+    if (reaction.kind == Reaction::half) peer.flush_now();
+    if (reaction.kind == Reaction::half || reaction.kind == Reaction::hang_up) peer.end_later();
+  }
+};
+
+// The parts of an invoker behind its fronts, and hosts for it.
+class World {
+ public:
+  explicit World(std::size_t hosts, const core::Settings& s = settings())
+      : pool(4096), fleet(loop, pool, counters, limits()), dispatcher(s, [this] { return loop.now(); }, fleet, counters) {
+    fleet.attach(dispatcher);
+    for (std::size_t i = 0; i < hosts; ++i) host.push_back(std::make_unique<StandInHost>(loop, pool));
+    tell(robinfold::WorkerState::ready);
+  }
+  void tell(robinfold::WorkerState state, double started = 0) {
+    core::MemberList list{true, {}};
+    core::HostList entries{core::ListKind::full, {}};
+    for (std::size_t i = 0; i < host.size(); ++i) {
+      core::Member member;
+      member.entry.worker = "h" + std::to_string(i);
+      member.entry.state = state;
+      member.entry.started = Millis(started);
+      member.address = host[i]->server.address();
+      list.members.push_back(member);
+      entries.entries.push_back(member.entry);
+    }
+    fleet.members(list);
+    dispatcher.members(std::move(entries));
+  }
+  void turn() {
+    loop.turn(std::min(dispatcher.next_due(), loop.now() + Millis(20)), [this] { dispatcher.tick(); });
+  }
+  template <typename Until>
+  bool turn_until(const Until& until, int most = 200000) {
+    for (int i = 0; i < most && !until(); ++i) turn();
+    return until();
+  }
+  static hosts::Limits limits() {
+    hosts::Limits l;
+    l.report_fields = {"inflight", "util"};
+    return l;
+  }
+  net::Loop loop;
+  net::BufferPool pool;
+  core::Counters counters;
+  std::vector<std::unique_ptr<StandInHost>> host;
+  hosts::Fleet fleet;
+  core::Dispatcher dispatcher;
+};
+
+// A broker for one queue of calls. It hands out what stands there, takes answers, and misbehaves as told.
+class StandInBroker {
+ public:
+  struct Message {
+    amqp::Properties properties;
+    std::string body;
+    bool redelivered = false;
+  };
+  struct Chaos {  // chances in a thousand
+    unsigned drop = 0, redeliver = 0, reorder = 0, nack = 0;
+  };
+  StandInBroker(net::Loop& loop, net::BufferPool& pool, std::uint64_t seed)
+      : random(seed), server(loop, pool, *this), loop_(loop) {}
+
+  class Peer final : public net::Stream {
+   public:
+    Peer(StandInBroker& broker, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), broker_(broker) {}
+    void say(std::uint32_t id, std::uint16_t channel, const amqp::Writer& arguments) {
+      const std::string head = amqp::Writer().u16(id >> 16).u16(id & 0xFFFF).bytes();
+      write(amqp::frame(amqp::FrameType::method, channel, head + arguments.bytes()));
+    }
+    std::map<std::uint64_t, Message> unacked;
+    std::uint64_t last_tag = 0, publishings = 0;
+    std::size_t prefetch = 0;
+    bool consuming = false;
+
+   private:
+    StandInBroker& broker_;
+    std::string greeting_;
+    amqp::FrameParser parser_;
+    Message publishing_;
+    std::string reply_queue_;
+    std::uint64_t left_ = 0;
+
+    void received(std::string_view bytes) override {
+      const std::size_t part = std::min(8 - greeting_.size(), bytes.size());
+      if (part > 0) greeting_.append(bytes.substr(0, part));
+      bytes.remove_prefix(part);
+      if (part > 0 && greeting_.size() == 8) {
+        REQUIRE(greeting_ == std::string("AMQP\0\0\x09\x01", 8));
+        say(amqp::method::connection_start, 0,
+            amqp::Writer().u8(0).u8(9).table({}).long_text("PLAIN").long_text("en_US"));
+      }
+      std::vector<amqp::Frame> frames;
+      REQUIRE(parser_.take(bytes, frames));
+      for (const auto& frame : frames) take(frame);
+    }
+    void take(const amqp::Frame& frame) {
+      using namespace amqp;
+      if (frame.type == FrameType::heartbeat) return;
+      if (frame.type == FrameType::header) {
+        auto read = read_content_header(frame.payload);
+        REQUIRE(read);
+        left_ = read->first;
+        publishing_ = {std::move(read->second), {}, false};
+        if (left_ == 0) broker_.published(*this, reply_queue_, publishing_);
+        return;
+      }
+      if (frame.type == FrameType::body) {
+        publishing_.body += frame.payload;
+        left_ -= frame.payload.size();
+        if (left_ == 0) broker_.published(*this, reply_queue_, publishing_);
+        return;
+      }
+      Reader in(frame.payload);
+      const std::uint32_t cls = in.u16();
+      switch (method::id(cls, in.u16())) {
+        case method::connection_start_ok:
+          return say(method::connection_tune, 0, Writer().u16(10).u32(4096).u16(broker_.heartbeat_s));
+        case method::connection_open: return say(method::connection_open_ok, 0, Writer().short_text(""));
+        case method::channel_open: return say(method::channel_open_ok, 1, Writer().long_text(""));
+        case method::confirm_select: return say(method::confirm_select_ok, 1, Writer());
+        case method::basic_qos:
+          in.u32();
+          prefetch = in.u16();
+          return say(method::basic_qos_ok, 1, Writer());
+        case method::basic_consume: {
+          in.u16();
+          in.short_text();
+          const std::string tag = in.short_text();
+          say(method::basic_consume_ok, 1, Writer().short_text(tag));
+          consuming = true;
+          return broker_.deliver(*this);
+        }
+        case method::basic_cancel:
+          consuming = false;
+          return say(method::basic_cancel_ok, 1, Writer().short_text(in.short_text()));
+        case method::basic_publish:
+          in.u16();
+          in.short_text();
+          reply_queue_ = in.short_text();
+          return;
+        case method::basic_ack:
+          if (unacked.erase(in.u64()) == 1) ++broker_.acked;
+          return broker_.deliver(*this);
+        case method::basic_reject:
+          if (unacked.erase(in.u64()) == 1) ++broker_.rejected;
+          return broker_.deliver(*this);
+        case method::connection_close:
+          say(method::connection_close_ok, 0, Writer());
+          return;
+        default: return;
+      }
+    }
+    void ended() override {
+      for (auto& [tag, message] : unacked) {
+        message.redelivered = true;
+        broker_.queue.push_back(std::move(message));
+      }
+      if (broker_.chance(broker_.chaos.reorder)) {
+        std::shuffle(broker_.queue.begin(), broker_.queue.end(), broker_.random);
+      }
+      broker_.server.gone(*this);
+    }
+  };
+
+  Random random;
+  Server<Peer, StandInBroker> server;
+  Chaos chaos;
+  std::deque<Message> queue;
+  std::vector<Message> answers;                      // every publishing that arrived
+  std::map<std::string, std::vector<Message>> held;  // answers by correlation id
+  std::size_t acked = 0, rejected = 0, dropped = 0;
+  std::uint16_t heartbeat_s = 0;
+
+  bool chance(unsigned in_thousand) { return below(random, 1000) < in_thousand; }
+  // Sends a call; its fields as an operator's tablet would give them.
+  void send(const std::string& id, const std::string& cls, const std::string& body, amqp::Table more = {}) {
+    Message m;
+    m.properties.message_id = id;
+    m.properties.correlation_id = "c-" + id;
+    m.properties.reply_to = "answers";
+    m.properties.headers = std::move(more);
+    m.properties.headers.emplace("class", cls);
+    m.properties.headers.emplace("lookup", std::string("00000000000000a1"));
+    m.properties.headers.emplace("memory_mb", std::int64_t{300});
+    m.properties.headers.emplace("lanes", std::int64_t{4});
+    m.body = body;
+    put(std::move(m));
+  }
+  void put(Message&& m) {
+    queue.push_back(std::move(m));
+    for (const auto& peer : server.peers) deliver(*peer);
+  }
+  void drop_all() {
+    dropped += server.peers.size();
+    for (const auto& peer : server.peers) peer->end_later();
+  }
+  void deliver(Peer& peer) {
+    while (peer.consuming && peer.open() && !queue.empty() && peer.unacked.size() < peer.prefetch) {
+      const std::size_t pick = chance(chaos.reorder) ? below(random, queue.size()) : 0;
+      Message m = std::move(queue[pick]);
+      queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(pick));
+      write_delivery(peer, m);
+      peer.unacked[peer.last_tag] = m;
+      if (!chance(chaos.redeliver)) continue;
+      m.redelivered = true;  // the same again under a further tag, as a broker does that recovers
+      write_delivery(peer, m);
+    }
+  }
+  void published(Peer& peer, const std::string& reply_queue, const Message& answer) {
+    if (chance(chaos.drop / 2)) return drop(peer);  // it never arrived
+    const std::uint64_t number = ++peer.publishings;
+    if (chance(chaos.nack)) return peer.say(amqp::method::basic_nack, 1, amqp::Writer().u64(number).u8(0));
+    REQUIRE(reply_queue == "answers");
+    answers.push_back(answer);
+    held[answer.properties.correlation_id].push_back(answer);
+    if (chance(chaos.drop / 2)) return drop(peer);  // it is held, but the confirm is lost
+    peer.say(amqp::method::basic_ack, 1, amqp::Writer().u64(number).u8(0));
+    if (!chance(chaos.drop / 2)) return;
+    peer.flush_now();  // the confirm arrives, our ack is lost
+    drop(peer);
+  }
+
+ private:
+  net::Loop& loop_;
+  void drop(Peer& peer) {
+    ++dropped;
+    peer.end_later();
+  }
+  void write_delivery(Peer& peer, const Message& m) {
+    using namespace amqp;
+    peer.say(method::basic_deliver, 1,
+             Writer().short_text("t").u64(++peer.last_tag).u8(m.redelivered ? 1 : 0).short_text("").short_text("calls"));
+    peer.write(frame(FrameType::header, 1, content_header(m.body.size(), m.properties)));
+    for (std::size_t at = 0; at < m.body.size(); at += 4000) {
+      peer.write(frame(FrameType::body, 1, std::string_view(m.body).substr(at, 4000)));
+    }
+  }
+};
+
+inline std::string word_of(const StandInBroker::Message& answer) {
+  return std::get<std::string>(answer.properties.headers.at("word"));
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/lotusyard/parsers_test.cpp
@@ -0,0 +1,152 @@
+// The parsers under random cuts of valid messages and under random garbage.
+#include "amqp/wire.h"
+#include "feed/feed.h"
+#include "helper.h"
+#include "net/fields.h"
+#include "resp/parser.h"
+
+namespace lotusyard::test {
+namespace {
+
+constexpr int kRounds = 300;
+
+std::string random_bytes(Random& random, std::size_t most) {
+  std::string out(below(random, most), ' ');
+  for (char& c : out) c = static_cast<char>(random());
+  return out;
+}
+
+TEST_CASE("RESP arrays come out as they went in, however they are cut") {
+  Random random(1);
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<resp::Words> sent(1 + below(random, 4));
+    std::string bytes;
+    for (auto& words : sent) {
+      words.resize(1 + below(random, resp::Parser::most_words));
+      for (auto& word : words) word = random_bytes(random, below(random, 20) == 0 ? 3000 : 20);
+      resp::write_array(bytes, std::vector<std::string_view>(words.begin(), words.end()));
+    }
+    bool sound = false;
+    CHECK(parse_cut<resp::Parser, resp::Words>(random, bytes, sound) == sent);
+    CHECK(sound);
+  }
+}
+
+TEST_CASE("what is no RESP array of allowed size spoils the stream") {
+  Random random(2);
+  bool sound = true;
+  for (const char* bad : {"*0\r\n", "*9\r\n", "*-1\r\n", "*1\r\n$16385\r\n", "*1\r\n$x\r\n", "*1\r\n$1\r\nabc", "+OK\r\n",
+                          "*1\r$", "*1111111111111111", "*1\r\n$-1\r\n"}) {
+    parse_cut<resp::Parser, resp::Words>(random, bad, sound);
+    CHECK_FALSE(sound);
+  }
+  parse_cut<resp::Parser, resp::Words>(random, "*1\r\n$0\r\n\r\n", sound);
+  CHECK(sound);
+}
+
+TEST_CASE("hosts' lines come out as they went in, however they are cut") {
+  Random random(3);
+  for (int round = 0; round < kRounds; ++round) {
+    std::string bytes;
+    std::vector<std::string> sent, read;
+    for (std::size_t i = 0; i < 1 + below(random, 5); ++i) {
+      const std::string body = random_bytes(random, 300), id = net::hex16(random());
+      const bool has_body = below(random, 2) == 0;
+      bytes += id + " data crowd=3" + (has_body ? ' ' + std::to_string(body.size()) + "\r\n" + body : "") + "\r\n";
+      sent.push_back(id + "crowd=3" + (has_body ? body : ""));
+    }
+    bool sound = false;
+    for (const auto& r : parse_cut<hosts::LineParser, hosts::Reply>(random, bytes, sound)) {
+      read.push_back(r.id + r.fields + r.body);
+    }
+    CHECK(read == sent);
+    CHECK(sound);
+  }
+  bool sound = true;
+  for (const char* bad : {"\r\n", "one\r\n", "a b c d e\r\n", "a b - 3\r\nabcd\r\n", "a b - x\r\n", "a b\n", "a  b\r\n"}) {
+    parse_cut<hosts::LineParser, hosts::Reply>(random, bad, sound);
+    CHECK_FALSE(sound);
+  }
+  parse_cut<hosts::LineParser, hosts::Reply>(random, std::string(3000, 'a'), sound);
+  CHECK_FALSE(sound);
+}
+
+TEST_CASE("AMQP frames, properties and tables come out as they went in, however they are cut") {
+  Random random(4);
+  for (int round = 0; round < kRounds; ++round) {
+    std::string bytes;
+    amqp::Properties p;
+    p.message_id = random_bytes(random, 255);
+    p.reply_to = "answers";
+    p.delivery_mode = 2;
+    p.headers = {{"text", random_bytes(random, 200)}, {"whole", std::int64_t(random())}, {"flag", true}, {"real", 0.5}};
+    const std::string header = amqp::content_header(random() >> 1, p), body = random_bytes(random, 900);
+    bytes += amqp::frame(amqp::FrameType::header, 1, header) + amqp::frame(amqp::FrameType::body, 1, body);
+    bytes += amqp::frame(amqp::FrameType::heartbeat, 0, {});
+    bool sound = false;
+    const auto frames = parse_cut<amqp::FrameParser, amqp::Frame>(random, bytes, sound);
+    REQUIRE(frames.size() == 3);
+    CHECK((sound && frames[1].payload == body && frames[1].channel == 1));
+    const auto read = amqp::read_content_header(frames[0].payload);
+    REQUIRE(read);
+    CHECK(read->second.message_id == p.message_id);
+    CHECK(read->second.headers == p.headers);
+  }
+}
+
+// Bytes as the specification prints them, so that writer and reader cannot be wrong alike.
+TEST_CASE("AMQP bytes stand in the order of the specification") {
+  using namespace std::string_literals;
+  CHECK(amqp::frame(amqp::FrameType::heartbeat, 0, {}) == "\x08\0\0\0\0\0\0\xCE"s);
+  CHECK(amqp::frame(amqp::FrameType::method, 1, "\0\x3C\0\x50"s) == "\x01\0\x01\0\0\0\x04\0\x3C\0\x50\xCE"s);
+  CHECK(amqp::Writer().table({{"a", true}}).bytes() == "\0\0\0\x04\x01"s + "at\x01"s);
+  amqp::Properties p;
+  p.correlation_id = "c";
+  p.delivery_mode = 2;
+  CHECK(amqp::content_header(5, p) == "\0\x3C\0\0\0\0\0\0\0\0\0\x05\x14\0\x02\x01"s + "c"s);
+  const std::string items = "\x01sS\0\0\0\x02hi\x01nI\xFF\xFF\xFF\xFE\x01vV"s;
+  const std::string bytes = "\0\0\0"s + static_cast<char>(items.size()) + items;
+  amqp::Reader table(bytes);
+  CHECK(table.table() == amqp::Table{{"s", "hi"s}, {"n", std::int64_t{-2}}, {"v", std::monostate()}});
+}
+
+TEST_CASE("garbage ends a stream or is passed over; it never ends the process") {
+  Random random(5);
+  bool sound = false;
+  for (int round = 0; round < 20 * kRounds; ++round) {
+    parse_cut<resp::Parser, resp::Words>(random, garbage(random, "*$1230\r\n"), sound);
+    parse_cut<hosts::LineParser, hosts::Reply>(random, garbage(random, "ab =-1 20\r\n"), sound);
+    parse_cut<amqp::FrameParser, amqp::Frame>(random, garbage(random, std::string("\1\2\3\0\0\0\1\xCE", 8)), sound);
+    parse_cut<feed::LineCutter, std::string>(random, garbage(random, "{}[]\":1,\n"), sound);
+    amqp::read_content_header(std::string("\0\x3C\0\0", 4) + garbage(random, std::string("\0\1FAStx\xFF", 8)));
+    const std::string wild = garbage(random, std::string("\0\0\0\1FAStx", 9));
+    amqp::Reader reader(wild);
+    reader.table();
+    net::parse_fields(garbage(random, "a=b,;:"));
+    feed::Log log;
+    core::MemberList list;
+    log.line(R"({"seq":1,"fleet":{"members":[)" + garbage(random, "{}\"id:,") + "]}}", list);
+  }
+}
+
+TEST_CASE("the change log is read once and in order") {
+  const auto event = [](int seq) {
+    return R"({"seq":)" + std::to_string(seq) + R"(,"fleet":{"complete":false,"members":[{"id":"s","host_port":"127.0.0.1:9",)"
+           R"("phase":"draining","up_since_ms":5}]}})";
+  };
+  feed::Log log(3);
+  core::MemberList list;
+  CHECK(log.line(event(4), list) == feed::Log::Read::news);
+  REQUIRE(list.members.size() == 1);
+  CHECK(list.members[0].entry.state == core::WorkerState::draining);
+  CHECK(list.members[0].entry.started == Millis(5));
+  CHECK(log.line(event(4), list) == feed::Log::Read::nothing);
+  CHECK(log.line("4", list) == feed::Log::Read::nothing);
+  CHECK(log.line("6", list) == feed::Log::Read::gap);
+  CHECK(log.line(event(6), list) == feed::Log::Read::gap);
+  CHECK(log.line("{", list) == feed::Log::Read::malformed);
+  CHECK(log.last() == 4);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/platform_test.cpp
@@ -0,0 +1,185 @@
+// The platform's front and the hosts' connections, over loopback.
+#include "helper.h"
+#include "net/fields.h"
+#include "resp/front.h"
+
+namespace lotusyard::test {
+namespace {
+
+using Kind = Reaction::Kind;
+
+class Client final : public net::Stream {
+ public:
+  Client(World& world, const std::string& address)
+      : Stream(world.loop, world.pool, net::connect_to(address), true), world_(world) {}
+  void say(const std::vector<std::string_view>& words) {
+    std::string out;
+    resp::write_array(out, words);
+    write(out);
+  }
+  void call(const std::string& tag, const std::string& cls, const std::string& body, int allow = 1000) {
+    const std::string fields = "ref=" + net::hex16(std::hash<std::string>()(tag + body)) + ",allow=" +
+                               std::to_string(allow) + ",lookup=00000000000000a1,spec=memory_mb:300;lanes:4";
+    say({"CALL", tag, cls, fields, body});
+  }
+  const resp::Words* answer(const std::string& tag) {
+    const auto has = [&] { return std::any_of(got.begin(), got.end(), [&](const auto& w) { return w[0] == tag; }); };
+    if (!world_.turn_until([&] { return has() || closed; }, 20000) || !has()) return nullptr;
+    return &*std::find_if(got.begin(), got.end(), [&](const auto& w) { return w[0] == tag; });
+  }
+  std::vector<resp::Words> got;
+  bool closed = false;
+
+ private:
+  World& world_;
+  resp::Parser parser_;
+  void connected() override { loop().flush_later(*this); }
+  void received(std::string_view bytes) override { REQUIRE(parser_.take(bytes, got)); }
+  void ended() override { closed = true; }
+};
+
+struct Platform {
+  World world;
+  resp::Front front;
+  explicit Platform(std::size_t hosts, resp::Front::Limits limits = {})
+      : world(hosts), front(world.loop, world.pool, world.dispatcher, world.counters, {"bin-check", "bin-record"}, limits) {
+    REQUIRE(front.listen("127.0.0.1:0"));
+  }
+};
+
+TEST_CASE("a client's call is served with its body unchanged") {
+  Platform p(2);
+  Client c(p.world, p.front.address());
+  const std::string body("\0\r\n*3 $\xFF", 8);
+  c.say({"CHECK", "1", ""});
+  c.call("2", "bin-record", body);
+  REQUIRE(c.answer("2") != nullptr);
+  CHECK(*c.answer("1") == resp::Words{"1", "UP"});
+  CHECK(*c.answer("2") == resp::Words{"2", "OK", "", body});
+}
+
+TEST_CASE("bad input ends its call or its connection, with a counted reason") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  SECTION("a call that cannot be read is failed") {
+    c.say({"CALL", "1", "bin-check", "ref=12,allow=5", "x"});
+    c.say({"CALL", "2", "bin-check"});
+    c.say({"CALL", "3", "no-class", "ref=00000000000000aa,allow=9,lookup=00000000000000a1", "x"});
+    c.say({"SHOUT", "4"});
+    for (const char* tag : {"1", "2", "3", "4"}) {
+      REQUIRE(c.answer(tag) != nullptr);
+      CHECK(c.answer(tag)->at(1) == "FAILED");
+    }
+    CHECK(p.world.counters.value("resp.unknown_verb") == 1);
+  }
+  SECTION("the 33rd open call is refused") {
+    p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+    for (int i = 1; i <= 33; ++i) c.call(std::to_string(i), "bin-check", std::to_string(i));
+    REQUIRE(c.answer("33") != nullptr);
+    CHECK(c.answer("33")->at(1) == "BUSY");
+    CHECK(p.world.counters.value("resp.too_many_open") == 1);
+  }
+  SECTION("a repeated tag, a missing tag or an oversized word closes the connection") {
+    const auto which = GENERATE(0, 1, 2);
+    if (which < 1) c.call("1", "bin-check", "x");
+    if (which < 1) c.call("1", "bin-check", "y");
+    if (which == 1) c.say({"CALL", "0"});
+    if (which == 2) c.say({"CALL", "1", std::string(20000, 'x')});
+    CHECK(p.world.turn_until([&] { return c.closed; }, 20000));
+    CHECK(p.world.counters.value(which < 1 ? "resp.tag_repeated" : which == 1 ? "resp.no_tag" : "resp.malformed") == 1);
+  }
+}
+
+TEST_CASE("a client that cancels or goes gets no answer, and its attempt is dropped") {
+  Platform p(1);
+  p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-record", "x");
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 1; }, 20000));
+  if (GENERATE(true, false)) {
+    c.say({"CANCEL", "1"});
+  } else {
+    c.end_later();
+  }
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->drops == 1; }, 20000));
+  CHECK(p.world.dispatcher.open() == 0);
+  CHECK(c.got.empty());
+}
+
+TEST_CASE("clients beyond the bound take the place of the one longest idle") {
+  resp::Front::Limits limits;
+  limits.clients = 2;
+  Platform p(1, limits);
+  Client a(p.world, p.front.address()), b(p.world, p.front.address());
+  a.say({"CHECK", "1"});
+  b.say({"CHECK", "1"});
+  REQUIRE((a.answer("1") != nullptr && b.answer("1") != nullptr));
+  Client c(p.world, p.front.address());
+  c.say({"CHECK", "1"});
+  CHECK(c.answer("1") != nullptr);
+  CHECK(p.world.turn_until([&] { return a.closed || b.closed; }, 20000));
+}
+
+TEST_CASE("an answer that breaks off, or a host that hangs up: a bin-record is failed, a bin-check goes elsewhere") {
+  Platform p(2);
+  const auto kind = GENERATE(Kind::half, Kind::hang_up);
+  int broken = 0;
+  for (auto& h : p.world.host) {
+    h->react = [&](const std::string&) { return broken++ == 0 ? Reaction{kind, "data"} : Reaction(); };
+  }
+  Client c(p.world, p.front.address());
+  const bool record = GENERATE(true, false);
+  c.call("1", record ? "bin-record" : "bin-check", "x");
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(c.answer("1")->at(1) == (record ? "FAILED" : "OK"));
+  CHECK(p.world.host[0]->execs + p.world.host[1]->execs == (record ? 1 : 2));
+}
+
+TEST_CASE("a refused connect proves that nothing ran: a bin-record goes on to another host") {
+  Platform p(2);
+  p.world.host[0]->server.stop();
+  Client c(p.world, p.front.address());
+  for (int i = 1; i <= 6; ++i) c.call(std::to_string(i), "bin-record", std::to_string(i));
+  for (int i = 1; i <= 6; ++i) {
+    REQUIRE(c.answer(std::to_string(i)) != nullptr);
+    CHECK(c.answer(std::to_string(i))->at(1) == "OK");
+  }
+}
+
+TEST_CASE("a host told draining gets nothing new, and its open calls end there") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-check", "x");
+  REQUIRE(c.answer("1") != nullptr);
+  p.world.tell(robinfold::WorkerState::draining);
+  c.call("2", "bin-check", "y", 300);
+  REQUIRE(c.answer("2") != nullptr);
+  CHECK(c.answer("2")->at(1) == "BUSY");
+  CHECK(p.world.host[0]->runs.count("y") == 0);
+}
+
+TEST_CASE("a host reborn at its old address is reached over a new connection") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-check", "x");
+  REQUIRE(c.answer("1") != nullptr);
+  const auto opened = p.world.counters.value("hosts.links_opened");
+  p.world.tell(robinfold::WorkerState::ready, p.world.loop.now().count() - 20000);
+  c.call("2", "bin-check", "y");
+  REQUIRE(c.answer("2") != nullptr);
+  CHECK(c.answer("2")->at(1) == "OK");
+  CHECK(p.world.counters.value("hosts.links_opened") == opened + 1);
+}
+
+TEST_CASE("a host that answers nothing: the call is failed at its deadline and the next one asks anew") {
+  Platform p(1);
+  p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-record", "x", 600);
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(c.answer("1")->at(1) == "FAILED");
+  CHECK(p.world.turn_until([&] { return p.world.counters.value("hosts.links_ended") == 1; }, 20000));
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/triggers.h
@@ -0,0 +1,96 @@
+// A whole path of triggers, from the stand-in broker to stand-in hosts, and a long seeded run over it.
+#pragma once
+
+#include <ostream>
+
+#include "helper.h"
+
+namespace lotusyard::test {
+
+class Triggers {
+ public:
+  explicit Triggers(std::size_t hosts, std::uint64_t seed = 1, amqp::Front::Limits limits = {},
+                    const core::Settings& s = settings())
+      : world(hosts, s), broker(world.loop, world.pool, seed) {
+    amqp::Broker at;
+    at.address = broker.server.address();
+    at.queues = {"calls"};
+    at.prefetch = 16;
+    front = std::make_unique<amqp::Front>(world.loop, world.pool, world.dispatcher, world.counters, s, at, limits);
+    front->start();
+  }
+  bool answered(const std::string& id, std::size_t times = 1) {
+    return world.turn_until([&] { return broker.held["c-" + id].size() >= times; }, 20000);
+  }
+  bool settled() {
+    return world.turn_until([&] { return broker.queue.empty() && unacked() == 0 && front->done(); }, 200000);
+  }
+  std::size_t unacked() const {
+    std::size_t sum = 0;
+    for (const auto& peer : broker.server.peers) sum += peer->unacked.size();
+    return sum;
+  }
+  World world;
+  StandInBroker broker;
+  std::unique_ptr<amqp::Front> front;
+};
+
+// Calls under a broker that drops, redelivers and reorders, at hosts that fail in every way. What came of it is
+// counted by the stand-ins alone.
+struct Tally {
+  std::size_t sent = 0, lost = 0, differing = 0, repeated_runs = 0, dropped = 0, served = 0;
+  bool settled = false;
+  void print(std::ostream& out) const {
+    out << "sent " << sent << " served " << served << " connections_dropped " << dropped << " duplicate_runs "
+        << repeated_runs << " lost_answers " << lost << " differing_answers " << differing << " settled " << settled
+        << std::endl;
+  }
+};
+
+inline Tally chaos_run(std::uint64_t seed, std::size_t calls, Millis seconds_most) {
+  core::Settings s = settings();
+  for (auto& c : s.classes) c.aim = c.deadline = Millis(400);
+  Triggers t(3, seed, {}, s);
+  t.broker.chaos = {12, 60, 300, 40};
+  Random random(seed);
+  for (auto& host : t.world.host) {
+    host->react = [&random](const std::string&) {
+      const std::size_t dice = below(random, 1000);
+      if (dice < 10) return Reaction{Reaction::silence, ""};
+      if (dice < 13) return Reaction{Reaction::half, "data"};
+      if (dice < 16) return Reaction{Reaction::hang_up, ""};
+      return Reaction{Reaction::reply, dice < 40 ? "absent" : dice < 60 ? "full" : dice < 80 ? "failed" : "data"};
+    };
+  }
+  Tally tally;
+  const Millis began = t.world.loop.now();
+  std::vector<std::string> records;
+  while (tally.sent < calls && t.world.loop.now() - began < seconds_most) {
+    for (int i = 0; i < 4 && t.broker.queue.size() < 8; ++i) {
+      const bool record = below(random, 3) == 0;
+      const std::string id = "m" + std::to_string(tally.sent++);
+      t.broker.send(id, record ? "bin-record" : "bin-check", "bin of " + id);
+      if (record) records.push_back("bin of " + id);
+    }
+    t.world.turn();
+    if (below(random, 2000) == 0) t.broker.drop_all();
+  }
+  tally.settled = t.settled();
+  for (std::size_t i = 0; i < tally.sent; ++i) {
+    const auto& held = t.broker.held["c-m" + std::to_string(i)];
+    if (held.empty()) ++tally.lost;
+    for (const auto& answer : held) {
+      if (word_of(answer) != word_of(held.front()) || answer.body != held.front().body) ++tally.differing;
+    }
+    if (!held.empty() && word_of(held.front()) == "OK") ++tally.served;
+  }
+  for (const auto& body : records) {
+    int runs = 0;
+    for (const auto& host : t.world.host) runs += host->runs.count(body) == 0 ? 0 : host->runs.at(body);
+    if (runs > 1) ++tally.repeated_runs;
+  }
+  tally.dropped = t.broker.dropped;
+  return tally;
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/triggers_test.cpp
@@ -0,0 +1,182 @@
+// The AMQP front's whole path: stand-in broker, core and module, stand-in hosts.
+#include <cstdlib>
+#include <iostream>
+
+#include "triggers.h"
+
+namespace lotusyard::test {
+namespace {
+
+using Kind = Reaction::Kind;
+
+TEST_CASE("a delivery is served, its body unchanged, and acknowledged once the answer is confirmed") {
+  Triggers t(2);
+  const std::string body = std::string("bin\0\r\n\xCE", 7) + std::string(9000, 'x');
+  t.broker.send("a", "bin-record", body);
+  REQUIRE(t.answered("a"));
+  const auto& answer = t.broker.held["c-a"][0];
+  CHECK(word_of(answer) == "OK");
+  CHECK(answer.body == body);
+  CHECK(answer.properties.message_id == "a");
+  REQUIRE(t.settled());
+  CHECK(t.broker.acked == 1);
+}
+
+TEST_CASE("a nacked answer is published again and acknowledged only then") {
+  Triggers t(1);
+  t.broker.chaos.nack = 1000;
+  t.broker.send("a", "bin-check", "x");
+  REQUIRE(t.world.turn_until([&] { return t.world.counters.value("amqp.nacked") > 0; }, 20000));
+  CHECK(t.broker.acked == 0);
+  t.broker.chaos.nack = 0;
+  REQUIRE(t.settled());
+  CHECK(t.broker.acked == 1);
+  CHECK(t.broker.answers.size() == 1);
+}
+
+TEST_CASE("what a host says is what the answer says") {
+  Triggers t(2);
+  std::string word = "failed";
+  for (auto& h : t.world.host) {
+    h->react = [&](const std::string&) { return Reaction{word.empty() ? Kind::silence : Kind::reply, word}; };
+  }
+  SECTION("an error of a bin-record may have run: failed, and not tried again") {
+    t.broker.send("a", "bin-record", "x");
+    REQUIRE(t.answered("a"));
+    CHECK(word_of(t.broker.held["c-a"][0]) == "FAILED");
+    CHECK(t.world.host[0]->execs + t.world.host[1]->execs == 1);
+  }
+  SECTION("hosts that are full prove that it never ran: refused") {
+    word = "full";
+    t.broker.send("a", "bin-record", "x");
+    REQUIRE(t.answered("a"));
+    CHECK(word_of(t.broker.held["c-a"][0]) == "BUSY");
+    CHECK(t.world.host[0]->runs.empty());
+  }
+  SECTION("a stuck host: failed at the call's own deadline") {
+    word.clear();
+    t.broker.send("a", "bin-record", "x", {{"allow", std::int64_t{200}}});
+    REQUIRE(t.answered("a"));
+    CHECK(word_of(t.broker.held["c-a"][0]) == "FAILED");
+    CHECK(t.world.host[0]->drops + t.world.host[1]->drops <= 1);
+  }
+}
+
+TEST_CASE("malformed deliveries are failed where they can be answered, else rejected") {
+  Triggers t(1);
+  t.broker.send("noclass", "no-such-class", "x");
+  t.broker.send("badkey", "bin-check", "x", {{"lookup", std::string("zz")}});
+  t.broker.send("badallow", "bin-check", "x", {{"allow", std::int64_t{-1}}});
+  t.broker.send("big", "bin-check", std::string(20000, 'x'));
+  t.broker.put({{}, "no way to answer", false});
+  REQUIRE(t.world.turn_until([&] { return t.broker.acked + t.broker.rejected == 5; }, 20000));
+  CHECK(t.broker.rejected == 1);
+  for (const char* id : {"noclass", "badkey", "badallow", "big"}) {
+    REQUIRE(t.broker.held[std::string("c-") + id].size() == 1);
+    CHECK(word_of(t.broker.held[std::string("c-") + id][0]) == "FAILED");
+  }
+  CHECK(t.world.host[0]->execs == 0);
+}
+
+TEST_CASE("a bin-record redelivered to a process that knows nothing of it is failed, not run") {
+  Triggers t(1);
+  StandInBroker::Message m;
+  t.broker.send("fresh", "bin-check", "x");
+  REQUIRE(t.answered("fresh"));
+  m.properties = t.broker.answers[0].properties;
+  m.properties.message_id = "old";
+  m.properties.correlation_id = "c-old";
+  m.properties.reply_to = "answers";
+  m.properties.headers = {{"class", std::string("bin-record")}, {"lookup", std::string("00000000000000a1")}};
+  m.redelivered = true;
+  t.broker.put(std::move(m));
+  REQUIRE(t.answered("old"));
+  CHECK(word_of(t.broker.held["c-old"][0]) == "FAILED");
+  CHECK(t.world.host[0]->execs == 1);
+}
+
+TEST_CASE("a consumer gone mid-answer: the call runs once and its redelivery gets the one answer") {
+  Triggers t(1);
+  bool running = false;
+  t.world.host[0]->react = [&](const std::string&) {
+    running = true;
+    t.broker.drop_all();  // the connection breaks while the host works
+    return Reaction();
+  };
+  t.broker.send("a", "bin-record", "x");
+  REQUIRE(t.answered("a"));
+  REQUIRE(t.settled());
+  CHECK(running);
+  CHECK(t.world.host[0]->runs["x"] == 1);
+  CHECK(t.broker.held["c-a"].size() == 1);
+  CHECK(word_of(t.broker.held["c-a"][0]) == "OK");
+}
+
+TEST_CASE("an answer already confirmed is not sent twice when only the ack was lost") {
+  Triggers t(1);
+  t.broker.send("a", "bin-record", "x");
+  REQUIRE(t.answered("a"));
+  REQUIRE(t.settled());
+  StandInBroker::Message again;
+  again.properties = t.broker.answers[0].properties;
+  again.properties.reply_to = "answers";
+  again.redelivered = true;
+  SECTION("to the same address: acknowledged only") {
+    t.broker.put(std::move(again));
+    REQUIRE(t.world.turn_until([&] { return t.broker.acked == 2; }, 20000));
+    CHECK(t.broker.answers.size() == 1);
+  }
+  SECTION("to another address: the remembered answer") {
+    again.properties.correlation_id = "c-b";
+    t.broker.put(std::move(again));
+    REQUIRE(t.answered("b"));
+    CHECK(t.broker.held["c-b"][0].body == "x");
+  }
+  CHECK(t.world.host[0]->execs == 1);
+}
+
+TEST_CASE("the memory of answers is bounded and forgets the oldest first") {
+  amqp::Memory memory(3, 1U << 20);
+  for (const char* id : {"a", "b", "c", "d"}) {
+    memory.begin(id, true);
+    memory.end(id, {core::Verdict::served, Millis(0), "x"});
+  }
+  memory.begin("runs", true);
+  CHECK(memory.find("a") == nullptr);
+  CHECK(memory.find("b") != nullptr);
+  CHECK(memory.size() == 4);
+  CHECK(memory.running() == 1);
+  amqp::Memory small(100, 4000);
+  for (int i = 0; i < 20; ++i) {
+    small.begin(std::to_string(i), true);
+    small.end(std::to_string(i), {core::Verdict::served, Millis(0), std::string(500, 'x')});
+  }
+  CHECK(small.size() <= 4);
+  CHECK(small.find("19") != nullptr);
+}
+
+TEST_CASE("under drops, redeliveries and reorders no bin-record runs twice and no answer is lost") {
+  for (const std::uint64_t seed : {3, 4}) {
+    const Tally tally = chaos_run(seed, 150, Millis(1e9));
+    CHECK(tally.settled);
+    CHECK(tally.sent == 150);
+    CHECK(tally.served > 50);
+    CHECK(tally.dropped > 0);
+    CHECK(tally.repeated_runs == 0);
+    CHECK(tally.lost == 0);
+    CHECK(tally.differing == 0);
+  }
+}
+
+// The long run, by name only: lotusyard_tests "[soak]", for LOTUSYARD_SOAK_S seconds (600 unless told).
+TEST_CASE("the same for ten minutes", "[.soak]") {
+  const char* const told = std::getenv("LOTUSYARD_SOAK_S");
+  const double seconds = told == nullptr ? 600 : std::atof(told);
+  const Tally tally = chaos_run(5, SIZE_MAX, Millis(seconds * 1000));
+  tally.print(std::cout);
+  CHECK(tally.settled);
+  CHECK(tally.repeated_runs + tally.lost + tally.differing == 0);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
