Guards found in review: stuck hosts, gone hosts, no descriptors, arrival by the turn's poll

Seen in review, each with the line to blame: an attempt dropped before its bytes were handed over whole counted as run (Link::drop); hosts long gone were kept for ever (Fleet::members); an event on a gone host retired the links of its successor at the same address; a listener without descriptors would have spun the loop; a call's time began only when its turn came (Front::call).

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -119,7 +119,7 @@
   out.effort = net::parse_number(text_of(headers, "effort"));
   out.memory_mb = megabytes.value_or(0);
   out.lanes = static_cast<int>(at_once.value_or(1));
-  out.arrived = loop_.now();
+  out.arrived = loop_.turn_began();
   out.allow = allowed ? Millis(static_cast<double>(*allowed)) : cls->deadline;
   return true;
 }
@@ -231,6 +231,7 @@
 }
 
 void Front::confirmed(std::uint64_t number, bool multiple, bool taken) {
+  if (multiple && number == 0) number = UINT64_MAX;  // the specification's "all so far"
   const auto first = multiple ? unconfirmed_.begin() : unconfirmed_.find(number);
   const auto last = multiple                      ? unconfirmed_.upper_bound(number)
                     : first == unconfirmed_.end() ? first
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -150,10 +150,11 @@
 }
 
 void Dispatcher::carry_out(const RefuseStep& step) {
-  const Open* open = find(step.call);
+  Open* open = find(step.call);
   if (open == nullptr) return;
+  if (open->out && hosts_.drop(open->out->attempt)) open->may_have_run = true;
   // A refusal says that trying again is harmless; what may have run is failed, with the same advice.
-  const bool harmless = !open->may_have_run && !open->out;
+  const bool harmless = !open->may_have_run;
   finish(step.call, {harmless ? Verdict::refused : Verdict::failed, step.cooldown, {}});
 }
 
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -85,15 +85,15 @@
       dropped_.pop_front();
     }
     dropped_.emplace_back(now, ref);
-    // A host that is cut off says nothing for ever: what comes next tries a new connection, which proves
-    // more.
+    // A host that is cut off says nothing for ever. What comes next tries a new connection: it proves more.
     if (now - std::max(heard_, sent.at) > kSilent) suspect_ = true;
     // At once: the next attempt may leave on another connection in this very turn.
     write("drop " + ref + "\r\n");
     const bool flushed = flush_now();
     if (!flushed) end_later();  // the host reads nothing; closing gives the attempt up
     rest();
-    return true;
+    // What was not handed over whole by now never will be.
+    return outbox().written() >= sent.end;
   }
   void order(const std::string& tag, std::uint64_t function, int copies) {
     const Millis now = fleet_.loop_.now();
@@ -116,8 +116,8 @@
     }
     rest();
   }
-  // The host is told draining or gone, or started anew: nothing new goes here, what has not gone out never
-  // does.
+  // The host is told draining or gone, or started anew: nothing new goes here; what has not gone out never
+  // will.
   void retire(bool unsent_too) {
     retired_ = true;
     if (unsent_too && connecting()) return end_later();
@@ -307,14 +307,20 @@
     if (member.entry.state != WorkerState::ready) retire(host, true);
     // Danger: a new host may stand at the address of one that is gone, and be taken for it.
     for (auto& [other_id, other] : hosts_) {
-      if (other_id != id && other.member.address == member.address) retire(other, true);
+      const bool taken_over =
+          member.entry.state == WorkerState::ready && other.member.address == member.address;
+      if (taken_over && other_id != id) retire(other, true);
     }
   }
-  if (!list.complete) return;
-  for (auto& [id, host] : hosts_) {
-    if (named.count(id) != 0) continue;
-    host.member.entry.state = WorkerState::gone;
-    retire(host, true);
+  for (auto i = hosts_.begin(); i != hosts_.end();) {
+    Host& host = i->second;
+    if (list.complete && named.count(i->first) == 0) {
+      host.member.entry.state = WorkerState::gone;
+      retire(host, true);
+    }
+    // Hosts that are gone are forgotten with their last connection, or every deploy would leave some behind.
+    const bool forgotten = host.member.entry.state == WorkerState::gone && host.links.empty();
+    i = forgotten ? hosts_.erase(i) : std::next(i);
   }
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -79,6 +79,8 @@
 }
 
 int run(const std::string& file) {
+  if (file.empty())
+    throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
   const auto config = config::read_config(config::read_json_file(file), environment("BALANCER_NAME"),
                                           environment("BALANCER_LISTEN"));
   net::Loop loop;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -18,7 +18,8 @@
 }  // namespace
 
 Loop::Loop()
-    : offset_ms_(milliseconds<std::chrono::system_clock>() - milliseconds<std::chrono::steady_clock>()) {}
+    : offset_ms_(milliseconds<std::chrono::system_clock>() - milliseconds<std::chrono::steady_clock>()),
+      turn_began_(now()) {}
 Loop::~Loop() = default;
 
 Millis Loop::now() const { return Millis(milliseconds<std::chrono::steady_clock>() + offset_ms_); }
@@ -71,6 +72,7 @@
     serials_.push_back(by_fd_[fd].serial);
   }
   const int found = ::poll(polled_.data(), polled_.size(), static_cast<int>(std::ceil(wait)));
+  turn_began_ = now();
   for (std::size_t i = 0; found > 0 && i < polled_.size(); ++i) {
     if (polled_[i].revents == 0) continue;
     const Entry& entry = by_fd_[static_cast<std::size_t>(polled_[i].fd)];
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -34,6 +34,10 @@
 
   // Unix milliseconds, from the system's clock at the start and steady from there on.
   Millis now() const;
+  // When this turn's poll(2) returned: what is read in the turn had come by then.
+  Millis turn_began() const { return turn_began_; }
+  // The one buffer that is read into; what was read is used up before the next read.
+  BufferPool::Block& read_buffer() { return read_buffer_; }
 
   void watch(int fd, Handler& handler, short events);  // again: changes the events
   void forget(int fd, Handler& handler);               // before the descriptor is closed
@@ -63,6 +67,8 @@
   std::vector<std::shared_ptr<void>> graves_;
   std::uint64_t serial_ = 0;
   double offset_ms_ = 0;
+  Millis turn_began_{0};
+  BufferPool::Block read_buffer_;
 
   void flush();
 };
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -61,8 +61,9 @@
   return socket;
 }
 
-Socket accept_from(const Socket& listener) {
+Socket accept_from(const Socket& listener, bool* exhausted) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (exhausted != nullptr) *exhausted = !socket && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS);
   if (socket) no_delay(socket.fd());
   return socket;
 }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -30,7 +30,8 @@
 // Numeric addresses only, as host:port or [host]:port. A failed call gives an empty Socket.
 Socket listen_on(const std::string& address);
 Socket connect_to(const std::string& address);  // under way: writable once it is decided
-Socket accept_from(const Socket& listener);
+// `exhausted` tells that no descriptor was to be had: the connection waits on.
+Socket accept_from(const Socket& listener, bool* exhausted = nullptr);
 int pending_error(const Socket& socket);  // of a connect that was decided
 std::string bound_address(const Socket& listener);
 bool valid_address(const std::string& address);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -73,15 +73,14 @@
 }
 
 void Stream::read() {
-  // A lease of its own, since what is received may be answered from the same pool.
-  char block[BufferPool::block_size];
+  auto& block = loop_.read_buffer();
   for (int i = 0; i < kReadsATurn && socket_ && !ending_; ++i) {
-    const ssize_t got = ::recv(socket_.fd(), block, sizeof block, 0);
+    const ssize_t got = ::recv(socket_.fd(), block.data(), block.size(), 0);
     if (got < 0 && errno == EINTR) continue;
     if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
     if (got <= 0) return end();
-    received(std::string_view(block, static_cast<std::size_t>(got)));
-    if (static_cast<std::size_t>(got) < sizeof block) return;
+    received(std::string_view(block.data(), static_cast<std::size_t>(got)));
+    if (static_cast<std::size_t>(got) < block.size()) return;
   }
 }
 
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -83,19 +83,27 @@
 
 void Front::ready(short) {
   for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
-    net::Socket socket = net::accept_from(listener_);
+    bool exhausted = false;
+    net::Socket socket = net::accept_from(listener_, &exhausted);
+    if (exhausted) {
+      counters_.add("resp.no_descriptor");
+      return pause_listening();
+    }
     if (!socket) return;
     counters_.add("resp.connections");
     clients_.push_back(std::make_shared<Client>(*this, std::move(socket)));
     clients_.back()->place = std::prev(clients_.end());
     if (make_room()) continue;
-    // Danger: a listener that stays readable would spin the loop. The next client to go opens it again.
-    full_ = true;
-    loop_.forget(listener_.fd(), *this);
-    return;
+    return pause_listening();
   }
 }
 
+// Danger: a listener that stays readable would spin the loop. It is looked at again once a client has gone.
+void Front::pause_listening() {
+  full_ = true;
+  loop_.forget(listener_.fd(), *this);
+}
+
 void Front::take(Client& client, Words&& words) {
   const auto tag = words.size() < 2 ? std::nullopt : net::parse_whole(words[1], UINT64_MAX);
   if (!tag || *tag == 0) {
@@ -122,7 +130,6 @@
 }
 
 void Front::call(Client& client, Words&& words) {
-  const core::Millis now = loop_.now();
   const std::string tag = words[1];
   if (client.open_calls.count(tag) != 0) {
     counters_.add("resp.tag_repeated");  // two answers under one tag could not be told apart
@@ -158,7 +165,7 @@
   call.retry = field(*fields, "dup") == "1";
   call.memory_mb = net::parse_number(field(*spec, "memory_mb")).value_or(0);
   call.lanes = static_cast<int>(net::parse_whole(field(*spec, "lanes"), 1024).value_or(1));
-  call.arrived = now;
+  call.arrived = loop_.turn_began();  // time spent on what was read before it comes off
   call.allow = core::Millis(static_cast<double>(*allow));
   if (size > 0) call.body = std::move(words[4]);
 
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -56,6 +56,7 @@
 
   void ready(short events) override;
   bool make_room();
+  void pause_listening();
   void take(Client& client, Words&& words);
   void call(Client& client, Words&& words);
   void say(Client& client, const std::string& tag, core::Verdict verdict, core::Millis cooldown,
--- a/src/xds/hosts.cpp
+++ b/src/xds/hosts.cpp
@@ -132,7 +132,7 @@
 bool HostFile::read(std::string& fault) {
   std::ifstream in(path_);
   const json file = json::parse(in, nullptr, false);
-  if (!in || file.is_discarded()) fault = "cannot be read as JSON";
+  fault = "cannot be read as JSON";
   auto list = file.is_discarded() ? std::nullopt : read_hosts(file, cluster_, fault);
   if (!list) {
     counters_.add("xds.rejected");  // the hosts stay as they were
--- /dev/null
+++ b/tests/lotusyard/feed_test.cpp
@@ -0,0 +1,65 @@
+// The change log over connections that break.
+#include "feed/feed.h"
+
+#include "helper.h"
+
+namespace lotusyard::test {
+namespace {
+
+// Answers `since N` with the later events, cut anywhere; breaks off after a random part.
+struct StandInLog {
+  class Peer final : public net::Stream {
+   public:
+    Peer(StandInLog& log, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), log_(log) {}
+
+   private:
+    StandInLog& log_;
+    feed::LineCutter cutter_;
+    void received(std::string_view bytes) override {
+      std::vector<std::string> lines;
+      REQUIRE(cutter_.take(bytes, lines));
+      for (const auto& line : lines) {
+        REQUIRE(line.compare(0, 6, "since ") == 0);
+        log_.asked.push_back(std::stoull(line.substr(6)));
+        std::string text;
+        for (std::size_t i = log_.asked.back(); i < log_.events; ++i) {
+          text += R"({"seq":)" + std::to_string(i + 1) + R"(,"fleet":{"complete":false,"members":[{"id":"s)" +
+                  std::to_string(i + 1) + R"(","host_port":"127.0.0.1:9","phase":"ready"}]}})" + "\n";
+        }
+        text += std::to_string(log_.events) + "\n";
+        write(text.substr(0, below(log_.random, text.size() + 1)));
+        flush_now();
+        end_later();
+      }
+    }
+    void ended() override { log_.server.gone(*this); }
+  };
+  StandInLog(net::Loop& loop, net::BufferPool& pool) : server(loop, pool, *this) {}
+  Random random{6};
+  Server<Peer, StandInLog> server;
+  std::size_t events = 20;
+  std::vector<std::uint64_t> asked;
+};
+
+TEST_CASE("a change log that breaks off anywhere is taken up again; each event is told once, in order") {
+  net::Loop loop;
+  net::BufferPool pool(64);
+  core::Counters counters;
+  StandInLog log(loop, pool);
+  std::vector<std::string> told, all;
+  for (int i = 4; i <= 20; ++i) all.push_back("s" + std::to_string(i));
+  feed::Feed feed(loop, pool, counters, log.server.address(), feed::Log(3),
+                  [&](const core::MemberList& list) {
+                    for (const auto& m : list.members) told.push_back(m.entry.worker);
+                  });
+  feed.start();
+  for (int i = 0; i < 5000 && told.size() < all.size(); ++i) loop.turn(loop.now() + Millis(20), [] {});
+  CHECK(told == all);
+  CHECK(log.asked.size() > 1);
+  CHECK(log.asked.front() == 3);
+  CHECK(std::is_sorted(log.asked.begin(), log.asked.end()));
+}
+
+}  // namespace
+}  // namespace lotusyard::test
