--- a/src/amqp/channel.h
+++ b/src/amqp/channel.h
@@ -41,7 +41,7 @@
           Consumer& consumer, net::Socket socket);
   ~Channel() override;
 
-  bool up() const { return state_ == State::up && open(); }
+  bool up() const { return state_ == State::up && !ending(); }
   bool may_publish() const { return up() && flowing_; }
   std::uint64_t publish(const std::string& queue, const Properties& properties, std::string_view body);
   void ack(std::uint64_t tag);
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -52,9 +52,8 @@
   const std::string& host() const { return host_; }
   std::size_t load() const { return attempts_.size() + asked_.size(); }
   bool takes(const std::string& ref) const {
-    return (open() || connecting()) && !retired_ && !suspect_ &&
-           attempts_.size() < fleet_.limits_.attempts_a_link && attempts_.count(ref) == 0 &&
-           !was_dropped(ref);
+    return !ending() && !retired_ && !suspect_ && attempts_.size() < fleet_.limits_.attempts_a_link &&
+           attempts_.count(ref) == 0 && !was_dropped(ref);
   }
   void exec(const core::Attempt& attempt, const core::Call& call, Millis patience) {
     Sent sent{attempt, fleet_.loop_.now(), 0, false};
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -21,7 +21,7 @@
   void end_later();                    // ends it from the loop, for callers that `ended` must not interrupt
   bool open() const { return static_cast<bool>(socket_) && !connecting_; }
   bool connecting() const { return static_cast<bool>(socket_) && connecting_; }
-  bool ending() const { return ending_ || !socket_; }
+  bool ending() const { return ending_ || !socket_; }  // nothing written now would go out
   const Outbox& outbox() const { return outbox_; }
 
   void ready(short events) final;
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -163,9 +163,41 @@
   c.call("2", "bin-check", "y", 300);
   REQUIRE(c.answer("2") != nullptr);
   CHECK(c.answer("2")->at(1) == "BUSY");
+  REQUIRE(c.answer("2")->size() == 3);
+  CHECK_THAT(c.answer("2")->at(2), Catch::StartsWith("cooldown="));
   CHECK(p.world.host[0]->runs.count("y") == 0);
 }
 
+// Failure found in review: bytes given to an ending connection were dropped, and the attempt counted as run.
+TEST_CASE("a call that comes in the very turn in which an idle connection ends goes out on a new one") {
+  struct Desk final : core::Front {
+    std::vector<core::Verdict> verdicts;
+    void answer(core::CallId, core::Answer&& answer) override { verdicts.push_back(answer.verdict); }
+  } desk;
+  hosts::Limits limits = World::limits();
+  limits.idle = Millis(50);
+  World world(1, settings(), limits);
+  const auto call = [&](const char* ref) {
+    core::Call c;
+    c.ref = ref;
+    c.class_name = "bin-record";
+    c.function_name = "0000000000000007";
+    c.function = 7;
+    c.lanes = 4;
+    c.arrived = world.loop.now();
+    c.allow = Millis(1000);
+    world.dispatcher.take(world.dispatcher.next_id(), std::move(c), desk);
+  };
+  call("000000000000000a");
+  REQUIRE(world.turn_until([&] { return desk.verdicts.size() == 1; }, 20000));
+  const Millis due = world.loop.now() + Millis(50);
+  world.loop.at(due, [&] { call("000000000000000b"); });
+  while (world.loop.now() < due) {}  // both timers ring in one turn, the connection's first
+  REQUIRE(world.turn_until([&] { return desk.verdicts.size() == 2; }, 20000));
+  CHECK(desk.verdicts[1] == core::Verdict::served);
+  CHECK(world.counters.value("hosts.links_opened") == 2);
+}
+
 TEST_CASE("a host reborn at its old address is reached over a new connection") {
   Platform p(1);
   Client c(p.world, p.front.address());
