--- a/tests/lotusyard/triggers.h
+++ b/tests/lotusyard/triggers.h
@@ -75,7 +75,7 @@
   }
   const Millis began = t.world.loop.now();
   std::vector<std::string> records;
-  std::size_t next_drain = 40;
+  std::size_t next_drain = 40, next_drop = 30;
   while (tally.sent < calls) {
     const Millis past = t.world.loop.now() - began;
     if (most.count() > 0 && past >= most) break;
@@ -87,7 +87,11 @@
       if (record) records.push_back("bin of " + id);
     }
     t.world.turn();
-    if (below(random, 2000) == 0) t.broker.drop_all();
+    // A short run must not depend on chance for its drops; a long one has them at any moment.
+    if (most.count() > 0 ? below(random, 2000) == 0 : tally.sent >= next_drop) {
+      next_drop += 30;
+      t.broker.drop_all();
+    }
     if (tally.sent < next_drain) continue;
     // One host drains at a time, and comes back reborn when the next one goes.
     next_drain += 100;
