SIGHUP re-reads the configuration, and the change log is followed to where it moved

Checked: no handler stood for SIGHUP (src/main.cpp, Wake); the feed kept the address it was built with (src/feed/feed.cpp). Also: any byte from the change log counted as a sign of life, so one that trickled on inside a torn event was never asked again; its silence was noticed after 2.5 s, and the pause between connections grew unless an event was news. Now the file is read whole and checked before anything follows it; a faulty one is counted. The log is asked at its new address in the same turn with the same numbers; silence means 1.6 s without a whole line.

--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -14,7 +14,7 @@
 using core::WorkerState;
 
 constexpr Millis kConnectMost{500};
-constexpr Millis kQuietMost{2500};  // a line comes every second: a log quiet for longer is cut off
+constexpr Millis kQuietMost{1600};  // a line comes every second: a log quiet for longer has stopped
 constexpr Millis kPauseFirst{50}, kPauseMost{500};  // events count as told after 7 s whether they came or not
 
 core::Member read_member(const nlohmann::json& row) {
@@ -99,14 +99,16 @@
     expect(kQuietMost);
   }
   void received(std::string_view bytes) override {
-    expect(kQuietMost);
+    if (!current()) return;
     std::vector<std::string> lines;
     bool sound = cutter_.take(bytes, lines);
+    // Danger: a log that stops half-way through an event, or trickles, is as silent as one that says nothing.
+    if (!lines.empty()) expect(kQuietMost);
     for (const auto& line : lines) {
       core::MemberList list;
       const auto read = feed_.log_.line(line, list);
+      if (read == Log::Read::news || read == Log::Read::nothing) feed_.pause_ = Millis(0);
       if (read == Log::Read::news) {
-        feed_.pause_ = Millis(0);
         feed_.counters_.add("feed.events");
         feed_.told_(list);
       } else if (read != Log::Read::nothing) {
@@ -120,8 +122,9 @@
   }
   void ended() override {
     feed_.loop_.cancel(quiet_);
-    feed_.again();
+    if (current()) feed_.again();
   }
+  bool current() const { return feed_.connection_.get() == this; }  // false: the log has moved on
 };
 
 Feed::Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
@@ -141,6 +144,23 @@
   connection_ = std::make_shared<Connection>(*this, std::move(socket));
 }
 
+// Danger: the old address tells nothing more but stays open a while, and looks well. The new one is asked at
+// once: what it has to tell counts as told before long.
+void Feed::move(const std::string& address) {
+  if (address == address_) return;
+  counters_.add("feed.moves");
+  address_ = address;
+  const std::shared_ptr<Connection> old = std::move(connection_);
+  connection_.reset();
+  if (old) {
+    old->end_later();
+    loop_.bury(old);
+  }
+  loop_.cancel(timer_);
+  pause_ = Millis(0);
+  connect();
+}
+
 void Feed::again() {
   if (connection_) loop_.bury(std::move(connection_));
   connection_.reset();
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -46,6 +46,8 @@
        Told told);
   ~Feed();
   void start() { connect(); }
+  // The log goes on at another address, under the same numbers.
+  void move(const std::string& address);
 
  private:
   class Connection;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,11 +25,11 @@
 constexpr Millis kLeastKill{3000};  // SIGKILL comes no sooner than the longest deadline, or this, plus 0.7 s
 constexpr Millis kKillSlack{600};
 
-volatile std::sig_atomic_t g_terminate = 0, g_print = 0;
+volatile std::sig_atomic_t g_terminate = 0, g_print = 0, g_reread = 0;
 int g_wake_fd = -1;  // the write end of a pipe: a signal must end poll(2) at once
 
 void on_signal(int signal) {
-  (signal == SIGUSR1 ? g_print : g_terminate) = 1;
+  (signal == SIGUSR1 ? g_print : signal == SIGHUP ? g_reread : g_terminate) = 1;
   const char byte = 0;
   if (write(g_wake_fd, &byte, 1) < 0) return;  // full: the loop wakes anyway
 }
@@ -45,7 +45,7 @@
     loop_.watch(read_end_.fd(), *this, POLLIN);
     struct sigaction act {};
     act.sa_handler = on_signal;
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaction(signal, &act, nullptr);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaction(signal, &act, nullptr);
     act.sa_handler = SIG_IGN;
     sigaction(SIGPIPE, &act, nullptr);
   }
@@ -78,13 +78,17 @@
   return out;
 }
 
+config::Config read_file(const std::string& file) {
+  return config::read_config(config::read_json_file(file), environment("BALANCER_NAME"),
+                             environment("BALANCER_LISTEN"));
+}
+
 int run(const std::string& file) {
+  net::Loop loop;
+  Wake wake(loop);  // first: no signal may end the program while it starts
   if (file.empty())
     throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
-  const auto config = config::read_config(config::read_json_file(file), environment("BALANCER_NAME"),
-                                          environment("BALANCER_LISTEN"));
-  net::Loop loop;
-  Wake wake(loop);
+  const auto config = read_file(file);
   core::Counters counters;
   // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls.
   const std::size_t quarter = (config.memory_mb << 20) / 4;
@@ -129,6 +133,23 @@
     feed->start();
   }
 
+  // SIGHUP: the file is read whole and checked; only then is the list of hosts followed to where it says.
+  const auto reread = [&] {
+    try {
+      const auto next = read_file(file);
+      if (next.xds.has_value() != config.xds.has_value())
+        throw config::ConfigError("configuration: xds: can be added or removed at a start only");
+      std::string fault;
+      if (host_file && !host_file->move(next.xds->file, next.xds->cluster, fault))
+        throw config::ConfigError("configuration: xds.file: " + fault);
+      if (feed) feed->move(next.changelog);
+      counters.add("config.reread");
+    } catch (const std::exception& fault) {
+      counters.add("config.faulty");  // the old one goes on
+      std::cerr << "lotusyard: " << fault.what() << std::endl;
+    }
+  };
+
   std::set<std::string> classes;
   Millis longest = kLeastKill;
   for (const auto& c : config.settings.classes) {
@@ -163,6 +184,10 @@
       g_print = 0;
       counters.print(std::cout);
     }
+    if (g_reread != 0) {
+      g_reread = 0;
+      reread();
+    }
     if (g_terminate != 0 && told_to_end.count() == 0) {
       told_to_end = loop.now();
       front.drain();
--- a/src/xds/hosts.cpp
+++ b/src/xds/hosts.cpp
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <set>
+#include <tuple>
 
 #include "config/json_read.h"
 #include "net/socket.h"
@@ -129,6 +130,19 @@
   return good;
 }
 
+bool HostFile::move(const std::string& path, const std::string& cluster, std::string& fault) {
+  const auto before = std::make_pair(path_, cluster_);
+  path_ = path;
+  cluster_ = cluster;
+  const std::string now = stamp();
+  if (!read(fault)) {
+    std::tie(path_, cluster_) = before;
+    return false;
+  }
+  stamp_ = now;
+  return true;
+}
+
 bool HostFile::read(std::string& fault) {
   std::ifstream in(path_);
   const json file = json::parse(in, nullptr, false);
--- a/src/xds/hosts.h
+++ b/src/xds/hosts.h
@@ -26,6 +26,9 @@
            core::Millis pace, Told told);
   ~HostFile() { loop_.cancel(timer_); }
   bool start(std::string& fault);  // false if the first reading fails
+  // The list is in another file, or another cluster's, from now on; false, and nothing changed, if it cannot
+  // be read.
+  bool move(const std::string& path, const std::string& cluster, std::string& fault);
 
  private:
   net::Loop& loop_;
--- a/tests/lotusyard/feed_test.cpp
+++ b/tests/lotusyard/feed_test.cpp
@@ -6,7 +6,8 @@
 namespace lotusyard::test {
 namespace {
 
-// Answers `since N` with the later events, cut anywhere; breaks off after a random part.
+// Answers `since N` with the later events, cut anywhere; breaks off after a random part, or stops there and
+// stays open.
 struct StandInLog {
   class Peer final : public net::Stream {
    public:
@@ -30,7 +31,7 @@
         text += std::to_string(log_.events) + "\n";
         write(text.substr(0, below(log_.random, text.size() + 1)));
         flush_now();
-        end_later();
+        if (!log_.stays_open) end_later();
       }
     }
     void ended() override { log_.server.gone(*this); }
@@ -40,6 +41,7 @@
   Server<Peer, StandInLog> server;
   std::size_t events = 20;
   std::vector<std::uint64_t> asked;
+  bool stays_open = false;
 };
 
 TEST_CASE("a change log that breaks off anywhere is taken up again; each event is told once, in order") {
@@ -61,5 +63,52 @@
   CHECK(std::is_sorted(log.asked.begin(), log.asked.end()));
 }
 
+TEST_CASE("a change log that moves is asked at its new address at once; the old one is left") {
+  net::Loop loop;
+  net::BufferPool pool(64);
+  core::Counters counters;
+  StandInLog old(loop, pool), next(loop, pool);
+  old.events = 3;
+  old.stays_open = true;
+  std::vector<std::string> told;
+  feed::Feed feed(loop, pool, counters, old.server.address(), feed::Log(3),
+                  [&](const core::MemberList& list) { told.push_back(list.members.at(0).entry.worker); });
+  const auto turn_until = [&](const auto& until) {
+    for (int i = 0; i < 5000 && !until(); ++i) loop.turn(loop.now() + Millis(20), [] {});
+    return until();
+  };
+  feed.start();
+  REQUIRE(turn_until([&] { return old.asked.size() == 1; }));
+  feed.move(next.server.address());
+  REQUIRE(turn_until([&] { return told.size() == 17; }));
+  CHECK(told.front() == "s4");
+  CHECK(next.asked.front() == 3);
+  CHECK(turn_until([&] { return old.server.peers.empty(); }));
+  CHECK(old.asked.size() == 1);
+  CHECK(counters.value("feed.moves") == 1);
+}
+
+TEST_CASE("a change log that stops half-way through an event and stays open is asked again") {
+  net::Loop loop;
+  net::BufferPool pool(64);
+  core::Counters counters;
+  StandInLog log(loop, pool);
+  log.events = 1;
+  log.stays_open = true;
+  std::size_t told = 0;
+  feed::Feed feed(loop, pool, counters, log.server.address(), feed::Log(0),
+                  [&](const core::MemberList&) { ++told; });
+  feed.start();
+  Millis next = loop.now();
+  for (int i = 0; i < 5000 && log.asked.size() < 2; ++i) {
+    loop.turn(loop.now() + Millis(20), [] {});
+    if (loop.now() < next) continue;
+    next = loop.now() + Millis(20);
+    for (const auto& peer : log.server.peers) peer->write("x");  // it trickles on, but no line ends
+  }
+  CHECK(log.asked.size() == 2);
+  CHECK(log.asked.back() == told);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
