Calls no host can use end in the core; connections that say nothing end in 2 s

Checked by counters: refs used again could go over no connection that had seen them, so four connections a host filled up and the module took the host for unreachable. Lines to blame: Front::call let unknown tenants and unreadable figures through, and checked what AMQP checked once more; Dispatcher::take forgot a ref with its call; resp::Client had no time limit, and make_room shed idle clients for new ones that had said nothing; Parser took eight words of 16 KiB each. Policy::learn held calls of functions that no worker knows against the worker. Ruled out: CPU (0.06 s a second). Now the core refuses what no host can use, for both fronts; silent and half-said requests end in 2 s on descriptors of their own; calls and cancels in one read reach no host; 65 faults, or 1 MB unread, end a client. Tests: one each for the table of faults, silence and half requests, forty silent connections, calls taken back, the same again, a second long word, a function that no worker knows.

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -100,18 +100,17 @@
 
 bool Front::read_call(const Delivery& delivery, core::Call& out) const {
   const Table& headers = delivery.properties.headers;
-  const auto* cls = class_named(settings_, text_of(headers, "class"));
+  const auto* cls = class_named(settings_, text_of(headers, "class"));  // its limit stands in for `allow`
   const auto function = net::parse_hex16(text_of(headers, "lookup"));
   if (delivery.oversized || delivery.properties.message_id.empty() || cls == nullptr || !function)
     return false;
   const std::string allow = text_of(headers, "allow"), memory = text_of(headers, "memory_mb");
   const std::string lanes = text_of(headers, "lanes");
   const auto allowed = net::parse_whole(allow, kLongestAllow);
-  if (!allow.empty() && (!allowed || *allowed == 0)) return false;
   const auto megabytes = net::parse_number(memory);
-  if (!memory.empty() && (!megabytes || *megabytes < 0)) return false;
-  const auto at_once = net::parse_whole(lanes, 1024);
-  if (!lanes.empty() && (!at_once || *at_once == 0)) return false;
+  const auto at_once = net::parse_whole(lanes, INT32_MAX);
+  if ((!allow.empty() && !allowed) || (!memory.empty() && !megabytes) || (!lanes.empty() && !at_once))
+    return false;
   out.class_name = cls->name;
   out.tenant = text_of(headers, "project");
   out.function = *function;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -8,6 +8,10 @@
 
 // What the module leaves open is ended this long after its deadline, inside the grace that the rules give.
 constexpr Millis kOverdue{2};
+constexpr Millis kRefKept{10000};  // a late answer of a host may still come under a ref for so long
+constexpr std::size_t kRefsKept = 8192;
+constexpr int kMostLanes = 1024;
+constexpr double kMostMemoryMb = 1e6;
 
 }  // namespace
 
@@ -23,20 +27,56 @@
   return found == calls_.end() ? nullptr : &found->second;
 }
 
+// What no host can use costs hosts and the ration of loads all the same, and may close a connection on which
+// others wait: it ends here, whichever front it came through. Nothing if all is well.
+const char* Dispatcher::fault_of(const Call& call) const {
+  const auto named = [](const std::string& name) {
+    return [&name](const auto& entry) { return entry.name == name; };
+  };
+  const auto& classes = settings_.classes;
+  const auto cls = std::find_if(classes.begin(), classes.end(), named(call.class_name));
+  if (cls == classes.end()) return "calls.unknown_class";
+  const auto& tenants = settings_.tenants;
+  if (!call.tenant.empty() && !tenants.empty() &&
+      std::none_of(tenants.begin(), tenants.end(), named(call.tenant))) {
+    return "calls.unknown_tenant";
+  }
+  double most_mb = settings_.kind_memory_mb.empty() ? kMostMemoryMb : 0;
+  for (const auto& [kind, megabytes] : settings_.kind_memory_mb) most_mb = std::max(most_mb, megabytes);
+  if (!(call.memory_mb >= 0 && call.memory_mb <= most_mb)) return "calls.bad_figures";
+  if (call.lanes < 1 || call.lanes > kMostLanes) return "calls.bad_figures";
+  // A client's patience is at most its class's; a millisecond for rounding.
+  if (!(call.allow.count() > 0 && call.allow <= cls->deadline + Millis(1))) return "calls.bad_figures";
+  return nullptr;
+}
+
+// Bounds the memory of refs; the one place where it shrinks.
+void Dispatcher::forget_ref(const std::string& ref) {
+  const Millis now = clock_();
+  ended_refs_.emplace_back(now, ref);
+  while (now - ended_refs_.front().first > kRefKept || ended_refs_.size() > kRefsKept) {
+    refs_.erase(ended_refs_.front().second);
+    ended_refs_.pop_front();
+  }
+}
+
 bool Dispatcher::take(CallId id, Call&& call, Front& front) {
-  // Danger: hosts know a call by its ref; two open under one would get each other's answers.
+  if (const char* fault = fault_of(call)) {
+    counters_.add(fault);
+    return false;
+  }
+  // Danger: hosts know a call by its ref; two under one would get each other's answers.
   if (!refs_.insert(call.ref).second) {
-    counters_.add("calls.ref_open");
+    counters_.add("calls.ref_repeated");
     return false;
   }
   counters_.add("calls.taken");
   Open& open = calls_[id];
   open.call = std::move(call);
   open.front = &front;
-  const auto& classes = settings_.classes;
-  const auto cls = std::find_if(classes.begin(), classes.end(),
-                                [&](const auto& c) { return c.name == open.call.class_name; });
-  open.once = cls == classes.end() || cls->semantics == robinfold::Semantics::once;
+  for (const auto& c : settings_.classes) {
+    if (c.name == open.call.class_name) open.once = c.semantics == robinfold::Semantics::once;
+  }
   due_.push({open.call.arrived + open.call.allow + kOverdue, id, -1});
   run(module_.pick(clock_(), id, open.call));
   return true;
@@ -54,7 +94,7 @@
   }
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
-  refs_.erase(found->second.call.ref);
+  forget_ref(found->second.call.ref);
   calls_.erase(found);
 }
 
@@ -178,7 +218,7 @@
   if (found == calls_.end()) return;
   Open open = std::move(found->second);
   calls_.erase(found);  // first: whatever follows finds the call ended
-  refs_.erase(open.call.ref);
+  forget_ref(open.call.ref);
   static const char* const names[] = {"calls.served", "calls.refused", "calls.failed"};
   counters_.add(names[static_cast<std::size_t>(answer.verdict)]);
   if (open.out) hosts_.drop(open.out->attempt);
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -21,7 +21,7 @@
 
   // The id is made beforehand, so that a front can file the call before an answer comes.
   CallId next_id() { return ++last_id_; }
-  // False if it is not taken: a call with this ref is open.
+  // False if it is not taken: no host could use it, or its ref is not its own. It is owed a failure.
   bool take(CallId id, Call&& call, Front& front);
   void leave(CallId id);  // the client is gone: no answer is owed
 
@@ -63,7 +63,8 @@
   Module module_;
   CallId last_id_ = 0;
   std::unordered_map<CallId, Open> calls_;
-  std::unordered_set<std::string> refs_;
+  std::unordered_set<std::string> refs_;  // of open calls, and of those that ended a short while ago
+  std::deque<std::pair<Millis, std::string>> ended_refs_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::deque<Step> steps_;
   bool running_ = false;
@@ -78,6 +79,8 @@
   void carry_out(const UnloadStep& step) { hosts_.release(step.host, step.function); }
   void give_back(CallId id, Open& open, Outcome outcome, bool over);
   void finish(CallId id, Answer&& answer);
+  const char* fault_of(const Call& call) const;
+  void forget_ref(const std::string& ref);
   Open* find(CallId id);
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,6 +24,7 @@
 constexpr Millis kListenFor{500};   // new connections for at most 0.4 s of these
 constexpr Millis kLeastKill{3000};  // SIGKILL comes no sooner than the longest deadline, or this, plus 0.7 s
 constexpr Millis kKillSlack{600};
+constexpr std::size_t kOwnDescriptors = 20;  // standard streams, the listener, the change log and the like
 
 volatile std::sig_atomic_t g_terminate = 0, g_print = 0, g_reread = 0;
 int g_wake_fd = -1;  // the write end of a pipe: a signal must end poll(2) at once
@@ -150,16 +151,15 @@
     }
   };
 
-  std::set<std::string> classes;
   Millis longest = kLeastKill;
-  for (const auto& c : config.settings.classes) {
-    classes.insert(c.name);
-    longest = std::max(longest, c.deadline);
-  }
+  for (const auto& c : config.settings.classes) longest = std::max(longest, c.deadline);
+  // A third of the descriptors each for clients and for hosts; the last third for connections that have not
+  // asked yet, less what the program itself holds.
   resp::Front::Limits front_limits;
-  front_limits.clients = config.sockets / 3 + 8;
+  front_limits.clients = config.sockets / 3;
+  front_limits.newcomers = std::max<std::size_t>(config.sockets / 3, 2 * kOwnDescriptors) - kOwnDescriptors;
   front_limits.body_bytes = quarter;
-  resp::Front front(loop, pool, dispatcher, counters, classes, front_limits);
+  resp::Front front(loop, pool, dispatcher, counters, front_limits);
   if (!config.listen.empty()) {
     if (!front.listen(config.listen)) {
       throw config::ConfigError("configuration: listen: cannot listen on " + config.listen);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -297,8 +297,8 @@
     h.probation = true;
     h.errors = 0;
   }
-  // Danger: one connection that breaks says little of its worker: taken for a death, it leaves out a warm worker
-  // for a whole cold time. A probe on another connection tells. Guards also against one refused connect.
+  // Danger: one connection that breaks says little of its worker: taken for a death, it leaves out a warm
+  // worker for a whole cold time. A probe on another connection tells. Guards also against a refused connect.
   void doubt(Worker& w, bool reset) {
     if (!s_.probes || w.state != WorkerState::ready) return unreachable(w, reset);
     w.doubted_reset = reset || (w.doubted_reset && now_ - w.doubted <= kSilence);
@@ -787,7 +787,8 @@
       case Outcome::reset: doubt(w, e.outcome == Outcome::reset); break;
       case Outcome::error:
       case Outcome::timeout:
-        if (!r.attempts[static_cast<std::size_t>(e.attempt)].lost) judge(w, r.cls, true);
+        // Danger: calls of functions that no worker knows fail wherever they go; that tells of no worker.
+        if (!r.attempts[static_cast<std::size_t>(e.attempt)].lost && f.run.known()) judge(w, r.cls, true);
         break;
       default: break;
     }
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 
 #include "net/fields.h"
 
@@ -12,24 +13,48 @@
 
 constexpr std::uint64_t kLongestAllow = 3600 * 1000;
 constexpr std::size_t kAcceptsATurn = 64;
+constexpr core::Millis kWholeMost{2000};  // from connecting, or a request's first byte, to its last
+constexpr std::size_t kFaultsMost = 64;   // calls of one connection that were turned away unread
+constexpr std::size_t kUnreadMost = 1U << 20;  // answers that a client has not read
 
 }  // namespace
 
 class Front::Client final : public net::Stream {
  public:
   Client(Front& front, net::Socket socket)
-      : Stream(front.loop_, front.pool_, std::move(socket), false), front_(front) {}
+      : Stream(front.loop_, front.pool_, std::move(socket), false), front_(front) {
+    expect_whole();
+  }
+  ~Client() override { loop().cancel(whole_by_); }
   std::unordered_map<std::string, core::CallId> open_calls;
-  std::list<std::shared_ptr<Client>>::iterator place;
+  Clients::iterator place;
+  bool asked = false;  // stands among the clients, else among the newcomers
+  std::size_t faults = 0;
+
+  bool idle() const { return open_calls.empty() && outbox().empty(); }
 
  private:
   Front& front_;
   Parser parser_;
+  net::Loop::TimerId whole_by_{};
+  bool begun_ = true;  // a newcomer owes its first request from the start
 
+  // Danger: half a request, or none, would hold a descriptor for good.
+  void expect_whole() {
+    whole_by_ = loop().at(loop().now() + kWholeMost, [this] {
+      front_.counters_.add(asked ? "resp.half_request" : "resp.no_request");
+      end_later();
+    });
+  }
   void received(std::string_view bytes) override {
     std::vector<Words> commands;
     const bool sound = parser_.take(bytes, commands);
-    front_.clients_.splice(front_.clients_.end(), front_.clients_, place);
+    if (!commands.empty() && !front_.promote(*this)) return;
+    // A timer a begun request: the next one's time starts with its own first byte.
+    if (begun_ && (!commands.empty() || !parser_.begun())) loop().cancel(whole_by_);
+    if (parser_.begun() && (!begun_ || !commands.empty())) expect_whole();
+    begun_ = parser_.begun() || !asked;
+    leave_out_taken_back(commands);
     for (auto& words : commands) {
       if (ending()) return;  // what came behind a fault is not begun
       front_.take(*this, std::move(words));
@@ -38,17 +63,27 @@
     front_.counters_.add("resp.malformed");
     end_later();
   }
-  void ended() override { front_.gone(*this); }
+  // Danger: hundreds of calls that are taken back in the bytes they came in would each cost a host something.
+  void leave_out_taken_back(std::vector<Words>& commands) {
+    std::unordered_set<std::string> cancelled;
+    const auto taken_back = [&](const Words& words) {
+      if (words.size() < 2) return false;
+      if (words[0] == "CANCEL") cancelled.insert(words[1]);
+      return words[0] == "CALL" && open_calls.count(words[1]) == 0 && cancelled.count(words[1]) != 0;
+    };
+    const auto kept = std::remove_if(commands.rbegin(), commands.rend(), taken_back);
+    front_.counters_.add("resp.taken_back", static_cast<std::uint64_t>(commands.rend() - kept));
+    commands.erase(commands.begin(), kept.base());
+  }
+  void ended() override {
+    loop().cancel(whole_by_);
+    front_.gone(*this);
+  }
 };
 
 Front::Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
-             std::set<std::string> classes, Limits limits)
-    : loop_(loop),
-      pool_(pool),
-      dispatcher_(dispatcher),
-      counters_(counters),
-      classes_(std::move(classes)),
-      limits_(limits) {}
+             Limits limits)
+    : loop_(loop), pool_(pool), dispatcher_(dispatcher), counters_(counters), limits_(limits) {}
 
 Front::~Front() { stop_listening(); }
 
@@ -68,17 +103,36 @@
   return std::all_of(clients_.begin(), clients_.end(), [](const auto& c) { return c->outbox().empty(); });
 }
 
-// Keeps to the bound: the client longest unheard with no call open makes the place.
-bool Front::make_room() {
-  if (clients_.size() <= limits_.clients) return true;
-  const auto idle = std::find_if(clients_.begin(), std::prev(clients_.end()),
-                                 [](const auto& c) { return c->open_calls.empty() && c->outbox().empty(); });
-  if (idle == std::prev(clients_.end())) return false;
-  counters_.add("resp.idle_closed");
-  const std::shared_ptr<Client> kept = *idle;
+void Front::shed(const std::shared_ptr<Client>& client, const char* why) {
+  const std::shared_ptr<Client> kept = client;
+  counters_.add(why);
   kept->end_later();
   kept->flush();
-  return true;
+}
+
+// A whole request has come: the connection takes a place among the clients, of the one longest unheard with
+// no call open if need be. False if there is none: then it ends, with nothing sent on for it.
+bool Front::promote(Client& client) {
+  clients_.splice(clients_.end(), client.asked ? clients_ : newcomers_, client.place);
+  client.asked = true;
+  if (clients_.size() <= limits_.clients) return true;
+  const auto self = std::prev(clients_.end());
+  const auto idle = std::find_if(clients_.begin(), self, [](const auto& c) { return c->idle(); });
+  if (idle != self) {
+    shed(*idle, "resp.idle_closed");
+    return true;
+  }
+  counters_.add("resp.no_place");
+  client.end_later();
+  return false;
+}
+
+// Danger: connections by hundreds that say nothing. The oldest goes, unless its request has come by now.
+void Front::bound_newcomers() {
+  if (newcomers_.size() <= limits_.newcomers) return;
+  const std::shared_ptr<Client> oldest = newcomers_.front();
+  oldest->ready(POLLIN);
+  if (!oldest->asked && !oldest->ending()) shed(oldest, "resp.silent_closed");
 }
 
 void Front::ready(short) {
@@ -91,16 +145,15 @@
     }
     if (!socket) return;
     counters_.add("resp.connections");
-    clients_.push_back(std::make_shared<Client>(*this, std::move(socket)));
-    clients_.back()->place = std::prev(clients_.end());
-    if (make_room()) continue;
-    return pause_listening();
+    newcomers_.push_back(std::make_shared<Client>(*this, std::move(socket)));
+    newcomers_.back()->place = std::prev(newcomers_.end());
+    bound_newcomers();
   }
 }
 
 // Danger: a listener that stays readable would spin the loop. It is looked at again once a client has gone.
 void Front::pause_listening() {
-  full_ = true;
+  paused_ = true;
   loop_.forget(listener_.fd(), *this);
 }
 
@@ -135,25 +188,30 @@
     counters_.add("resp.tag_repeated");  // two answers under one tag could not be told apart
     return client.end_later();
   }
-  const auto reject = [&](const char* why, core::Verdict verdict = core::Verdict::failed) {
-    counters_.add(why);
-    say(client, tag, verdict, core::Millis(0), {});
-  };
   if (client.open_calls.size() >= limits_.calls_a_client) {
-    return reject("resp.too_many_open", core::Verdict::refused);
+    return reject(client, tag, "resp.too_many_open", core::Verdict::refused);
   }
-  if (words.size() < 4 || words.size() > 5) return reject("resp.bad_call");
+  if (words.size() < 4 || words.size() > 5) return reject(client, tag, "resp.bad_call");
   const auto fields = net::parse_fields(words[3]);
-  if (!fields) return reject("resp.bad_fields");
+  if (!fields) return reject(client, tag, "resp.bad_fields");
   const auto ref = net::parse_hex16(field(*fields, "ref")),
              function = net::parse_hex16(field(*fields, "lookup"));
   const auto allow = net::parse_whole(field(*fields, "allow"), kLongestAllow);
   const auto spec = net::parse_fields(field(*fields, "spec"), ';', ':');
-  if (!ref || !function || !allow || *allow == 0 || !spec) return reject("resp.bad_fields");
-  if (classes_.count(words[2]) == 0) return reject("resp.unknown_class");
+  if (!ref || !function || !allow || !spec) return reject(client, tag, "resp.bad_fields");
+  // A figure that is there can be read; the core knows which ones can be used.
+  const auto effort = net::parse_number(field(*fields, "effort")),
+             memory = net::parse_number(field(*spec, "memory_mb"));
+  const auto lanes = net::parse_whole(field(*spec, "lanes"), INT32_MAX);
+  if ((!effort && fields->count("effort") != 0) || (!memory && spec->count("memory_mb") != 0) ||
+      (!lanes && spec->count("lanes") != 0)) {
+    return reject(client, tag, "resp.bad_fields");
+  }
   const std::size_t size = words.size() > 4 ? words[4].size() : 0;
   // Bounds memory: a client of any number of connections may hold only so much of it.
-  if (bodies_ + size > limits_.body_bytes) return reject("resp.no_memory", core::Verdict::refused);
+  if (bodies_ + size > limits_.body_bytes) {
+    return reject(client, tag, "resp.no_memory", core::Verdict::refused);
+  }
 
   core::Call call;
   call.ref = field(*fields, "ref");
@@ -161,10 +219,10 @@
   call.tenant = field(*fields, "project");
   call.function_name = field(*fields, "lookup");
   call.function = *function;
-  call.effort = net::parse_number(field(*fields, "effort"));
+  call.effort = effort;
   call.retry = field(*fields, "dup") == "1";
-  call.memory_mb = net::parse_number(field(*spec, "memory_mb")).value_or(0);
-  call.lanes = static_cast<int>(net::parse_whole(field(*spec, "lanes"), 1024).value_or(1));
+  call.memory_mb = memory.value_or(0);
+  call.lanes = static_cast<int>(lanes.value_or(1));
   call.arrived = loop_.turn_began();  // time spent on what was read before it comes off
   call.allow = core::Millis(static_cast<double>(*allow));
   if (size > 0) call.body = std::move(words[4]);
@@ -175,10 +233,20 @@
   bodies_ += size;
   if (!dispatcher_.take(id, std::move(call), *this)) {
     unfile(id);
-    reject("resp.ref_open");
+    reject(client, tag, "resp.not_taken");
   }
 }
 
+// Danger: a client that sends the same again as soon as it is turned away would do so for ever.
+void Front::reject(Client& client, const std::string& tag, const char* why, core::Verdict verdict) {
+  counters_.add(why);
+  say(client, tag, verdict, core::Millis(0), {});
+  if (++client.faults <= kFaultsMost) return;
+  counters_.add("resp.faults_closed");
+  client.flush_now();
+  client.end_later();
+}
+
 void Front::say(Client& client, const std::string& tag, core::Verdict verdict, core::Millis cooldown,
                 std::string_view body) {
   std::string out;
@@ -194,6 +262,10 @@
     }
   }
   client.write(out);
+  // Guards the pool against a client that does not read.
+  if (client.outbox().appended() - client.outbox().written() <= kUnreadMost) return;
+  counters_.add("resp.unread_closed");
+  client.end_later();
 }
 
 void Front::answer(core::CallId call, core::Answer&& answer) {
@@ -214,15 +286,15 @@
 
 void Front::gone(Client& client) {
   const std::shared_ptr<Client> kept = *client.place;
-  clients_.erase(client.place);
+  (client.asked ? clients_ : newcomers_).erase(client.place);
   std::vector<core::CallId> left;
   for (const auto& [tag, id] : client.open_calls) left.push_back(id);
   std::sort(left.begin(), left.end());
   for (const auto id : left) unfile(id);
   for (const auto id : left) dispatcher_.leave(id);
   loop_.bury(kept);
-  if (full_ && listener_) {
-    full_ = false;
+  if (paused_ && listener_) {
+    paused_ = false;
     loop_.watch(listener_.fd(), *this, POLLIN);
   }
 }
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -3,7 +3,6 @@
 
 #include <list>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -19,11 +18,12 @@
 class Front final : public core::Front, private net::Handler {
  public:
   struct Limits {
-    std::size_t clients = 256, calls_a_client = 32;
+    std::size_t clients = 256, newcomers = 64;  // connections that have asked something, and not yet
+    std::size_t calls_a_client = 32;
     std::size_t body_bytes = 48U << 20;  // of all open calls
   };
   Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
-        std::set<std::string> classes, Limits limits);
+        Limits limits);
   ~Front() override;
 
   bool listen(const std::string& address);
@@ -46,19 +46,23 @@
   net::BufferPool& pool_;
   core::Dispatcher& dispatcher_;
   core::Counters& counters_;
-  std::set<std::string> classes_;
   Limits limits_;
   net::Socket listener_;
-  std::list<std::shared_ptr<Client>> clients_;  // the one longest unheard first
+  using Clients = std::list<std::shared_ptr<Client>>;
+  Clients clients_, newcomers_;  // the one longest unheard first
   std::unordered_map<core::CallId, Filed> by_call_;
   std::size_t bodies_ = 0;
-  bool draining_ = false, full_ = false;
+  bool draining_ = false, paused_ = false;
 
   void ready(short events) override;
-  bool make_room();
+  bool promote(Client& client);
+  void bound_newcomers();
+  void shed(const std::shared_ptr<Client>& client, const char* why);
   void pause_listening();
   void take(Client& client, Words&& words);
   void call(Client& client, Words&& words);
+  void reject(Client& client, const std::string& tag, const char* why,
+              core::Verdict verdict = core::Verdict::failed);
   void say(Client& client, const std::string& tag, core::Verdict verdict, core::Millis cooldown,
            std::string_view body);
   void unfile(core::CallId call);
--- a/src/resp/parser.cpp
+++ b/src/resp/parser.cpp
@@ -22,9 +22,11 @@
   if (state_ == State::array) {
     if (!header('*', most_words, words_left_) || words_left_ == 0) return false;
     words_.clear();
+    message_left_ = longest_message;
     state_ = State::bulk;
   } else if (state_ == State::bulk) {
-    if (!header('$', longest_word, bytes_left_)) return false;
+    if (!header('$', std::min(longest_word, message_left_), bytes_left_)) return false;
+    message_left_ -= bytes_left_;
     words_.emplace_back();
     state_ = State::data;
   } else {
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -1,4 +1,6 @@
 // A request's life, under a clock and hosts that the test plays itself.
+#include <cmath>
+
 #include "helper.h"
 
 namespace lotusyard::test {
@@ -39,8 +41,11 @@
   Millis now{1000};
   Desk desk;
   core::Counters counters;
-  core::Dispatcher dispatcher{settings(), [this] { return now; }, desk, counters};
-  explicit Bench(int hosts) {
+  core::Dispatcher dispatcher;
+  int refs = 0;
+  explicit Bench(int hosts, const core::Settings& s = settings())
+      : dispatcher(
+            s, [this] { return now; }, desk, counters) {
     core::HostList list;
     for (int i = 0; i < hosts; ++i) {
       list.entries.emplace_back();
@@ -131,13 +136,39 @@
   }
 }
 
-TEST_CASE("a ref that is open is not taken twice") {
-  Bench b(1);
-  b.call("bin-check", "same");
-  core::Call again;
-  again.ref = "same";
-  again.allow = Millis(1000);
-  CHECK_FALSE(b.dispatcher.take(b.dispatcher.next_id(), std::move(again), b.desk));
+TEST_CASE("what no host can use, or comes under a ref not its own, is not taken, by whichever front") {
+  core::Settings s = settings();
+  s.tenants.push_back({"redgum-estate", 1, 100});
+  s.kind_memory_mb["std-2c"] = 3456;
+  Bench b(1, s);
+  const auto takes = [&](const auto& change) {
+    core::Call c;
+    c.ref = "r" + std::to_string(b.desk.answers.size() + b.refs++);
+    c.class_name = "bin-check";
+    c.tenant = "redgum-estate";
+    c.memory_mb = 300;
+    c.allow = Millis(1000);
+    change(c);
+    return b.dispatcher.take(b.dispatcher.next_id(), std::move(c), b.desk);
+  };
+  CHECK(takes([](core::Call&) {}));
+  CHECK(takes([](core::Call& c) { c.ref = "same"; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.ref = "same"; }));
+  b.pass(Millis(1100));  // that call has ended, but a host may still answer it
+  CHECK_FALSE(takes([](core::Call& c) { c.ref = "same"; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.class_name = "bin-chuck"; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.tenant = "nobody"; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.memory_mb = -1; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.memory_mb = 4000; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.memory_mb = std::nan(""); }));
+  CHECK_FALSE(takes([](core::Call& c) { c.lanes = 0; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.lanes = 5000; }));
+  CHECK_FALSE(takes([](core::Call& c) { c.allow = Millis(0); }));
+  CHECK_FALSE(takes([](core::Call& c) { c.allow = Millis(1502); }));
+  CHECK(takes([](core::Call& c) { c.tenant.clear(); }));
+  CHECK(b.counters.value("calls.taken") == 3);
+  CHECK(b.counters.value("calls.ref_repeated") == 2);
+  CHECK(b.counters.value("calls.bad_figures") == 7);
 }
 
 TEST_CASE("a call for which there is no host is answered by its deadline") {
--- a/tests/lotusyard/parsers_test.cpp
+++ b/tests/lotusyard/parsers_test.cpp
@@ -40,6 +40,10 @@
     parse_cut<resp::Parser, resp::Words>(random, bad, sound);
     CHECK_FALSE(sound);
   }
+  // Only one word may be long: the bound holds before the memory is taken.
+  const std::string long_word = "$16384\r\n" + std::string(16384, 'x') + "\r\n";
+  parse_cut<resp::Parser, resp::Words>(random, "*2\r\n" + long_word + "$2049\r\n", sound);
+  CHECK_FALSE(sound);
   parse_cut<resp::Parser, resp::Words>(random, "*1\r\n$0\r\n\r\n", sound);
   CHECK(sound);
 }
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -46,7 +46,7 @@
   resp::Front front;
   explicit Platform(std::size_t hosts, resp::Front::Limits limits = {})
       : world(hosts),
-        front(world.loop, world.pool, world.dispatcher, world.counters, {"bin-check", "bin-record"}, limits) {
+        front(world.loop, world.pool, world.dispatcher, world.counters, limits) {
     REQUIRE(front.listen("127.0.0.1:0"));
   }
 };
@@ -70,7 +70,9 @@
     c.say({"CALL", "2", "bin-check"});
     c.say({"CALL", "3", "no-class", "ref=00000000000000aa,allow=9,lookup=00000000000000a1", "x"});
     c.say({"SHOUT", "4"});
-    for (const char* tag : {"1", "2", "3", "4"}) {
+    c.say({"CALL", "5", "bin-check",
+           "ref=00000000000000ab,allow=9,lookup=00000000000000a1,spec=memory_mb:much;lanes:4", "x"});
+    for (const char* tag : {"1", "2", "3", "4", "5"}) {
       REQUIRE(c.answer(tag) != nullptr);
       CHECK(c.answer(tag)->at(1) == "FAILED");
     }
@@ -126,6 +128,61 @@
   CHECK(p.world.turn_until([&] { return a.closed || b.closed; }, 20000));
 }
 
+TEST_CASE("a connection that says nothing, or half a request, is closed; one that has asked may stay") {
+  Platform p(1);
+  Client usual(p.world, p.front.address()), silent(p.world, p.front.address()),
+      half(p.world, p.front.address()), later(p.world, p.front.address());
+  usual.say({"CHECK", "1"});
+  later.say({"CHECK", "1"});
+  REQUIRE((usual.answer("1") != nullptr && later.answer("1") != nullptr));
+  half.write("*3\r\n$5\r\nCHE");
+  later.write("*3\r\n$5\r\nCHE");
+  CHECK(p.world.turn_until([&] { return silent.closed && half.closed && later.closed; }, 20000));
+  CHECK_FALSE(usual.closed);
+  CHECK(p.world.counters.value("resp.no_request") == 2);
+  CHECK(p.world.counters.value("resp.half_request") == 1);
+}
+
+TEST_CASE("connections by dozens that say nothing cost those that ask no place") {
+  resp::Front::Limits limits;
+  limits.clients = limits.newcomers = 4;
+  Platform p(1, limits);
+  Client usual(p.world, p.front.address());
+  usual.say({"CHECK", "1"});
+  REQUIRE(usual.answer("1") != nullptr);
+  std::list<Client> silent;
+  for (int i = 0; i < 40; ++i) silent.emplace_back(p.world, p.front.address());
+  Client late(p.world, p.front.address());
+  late.call("1", "bin-check", "x");
+  REQUIRE(late.answer("1") != nullptr);
+  CHECK(late.answer("1")->at(1) == "OK");
+  CHECK_FALSE(usual.closed);
+  CHECK(p.world.counters.value("resp.silent_closed") >= 36);
+}
+
+TEST_CASE("calls that are taken back in the bytes they came in reach no host") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  for (int i = 1; i <= 20; ++i) c.call(std::to_string(i), "bin-check", std::to_string(i));
+  for (int i = 1; i <= 19; ++i) c.say({"CANCEL", std::to_string(i)});
+  REQUIRE(c.answer("20") != nullptr);
+  CHECK(c.answer("20")->at(1) == "OK");
+  CHECK(c.got.size() == 1);
+  CHECK(p.world.host[0]->runs.size() == 1);
+  CHECK(p.world.counters.value("resp.taken_back") == 19);
+}
+
+TEST_CASE("a client that sends the same again whenever it is turned away is closed in the end") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  for (int i = 1; !c.closed && i < 1000; ++i) {
+    c.call(std::to_string(i), "no-class", "x");
+    c.answer(std::to_string(i));
+  }
+  CHECK(c.closed);
+  CHECK(p.world.counters.value("resp.faults_closed") == 1);
+}
+
 TEST_CASE(
     "an answer that breaks off, or a host that hangs up: a bin-record is failed, a bin-check goes "
     "elsewhere") {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -247,6 +247,20 @@
 }
 
 // Load news of any content changes no rule and costs at most a worse choice.
+TEST(Health, AFunctionThatNoWorkerKnowsExcludesNone) {
+  Settings s = settings();
+  s.miss_is_answered = true;
+  Router r(s);
+  r.list({entry("w1")});
+  for (int i = 0; i < 6; ++i) {
+    r.request("a" + std::to_string(i), 99, "unsafe");
+    if (r.sends.size() == static_cast<std::size_t>(i + 1)) r.answer(r.sends.back(), Outcome::error);
+  }
+  const auto before = r.sends.size();
+  r.request("b", 1, "unsafe");
+  EXPECT_EQ(r.sends.size(), before + 1);
+}
+
 TEST(Health, ABrokenConnectionAsksWhetherTheWorkerRuns) {
   for (const bool runs : {true, false}) {
     Settings s = settings();
