The module forgets hosts long gone, and bounds the functions it has heard of

Now prune_workers is the one place where they shrink; functions that no worker ever served go after 5 s, and unused ones at once beyond 4,096. Test: forty workers in a row take each other's places, with late news of those that went.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,6 +25,8 @@
 constexpr Millis kEjectFirst{1000};   // first exclusion; doubles with each relapse
 constexpr Millis kEjectMost{8000};    // longest exclusion: spells last tens of seconds
 constexpr Millis kForget{60000};      // records nobody asked for in this time are dropped
+constexpr Millis kForgetNew{5000};    // those of functions that no worker has served yet
+constexpr std::size_t kFunctionsMost = 4096;  // and so many are known at most: any name may be called
 constexpr double kRunGain = 0.1;      // EWMA gain of R: about the last ten answers
 constexpr double kLoadGain = 0.3;     // EWMA gain of L: loads are few
 constexpr double kOutlier = 4;        // one sample counts at most as this many times the average
@@ -86,7 +88,7 @@
 struct Worker : WorkerEntry, Health {
   Millis limit_moved{kNever}, heard{kNever}, answered{kNever}, full_until{kNever}, stretch_at{kNever};
   Millis died{kNever}, loss_told{kNever}, cold_filled{kNever}, probed{kNever}, waiting_at{kNever},
-      peers_told{kNever};
+      peers_told{kNever}, gone{kNever};
   std::uint64_t hash = 0;
   int inflight = 0, listed = 0;
   bool waiting_told = true;  // nothing new to tell
@@ -138,6 +140,7 @@
   std::mt19937_64 random_;
   std::vector<Worker> workers_;
   std::unordered_map<std::string, int> worker_index_, tags_;
+  std::vector<int> free_places_;  // in workers_, of those long gone
   std::vector<std::unique_ptr<Function>> functions_;  // in order of first sight, never of id
   std::unordered_map<std::uint64_t, Function*> function_index_;
   std::map<std::uint64_t, Request> requests_;
@@ -343,12 +346,16 @@
     }
     ++list_version_;
     for (const auto& entry : e.entries) {
-      const auto [place, fresh] = worker_index_.try_emplace(entry.worker, static_cast<int>(workers_.size()));
-      if (fresh) workers_.emplace_back();
+      const bool reused = !free_places_.empty();
+      const int next = reused ? free_places_.back() : static_cast<int>(workers_.size());
+      const auto [place, fresh] = worker_index_.try_emplace(entry.worker, next);
+      if (fresh && reused) free_places_.pop_back();
+      if (fresh && !reused) workers_.emplace_back();
       take_entry(place->second, entry);
     }
     for (auto& w : workers_) {
       if (e.kind != ListKind::delta && w.listed != list_version_) w.state = WorkerState::gone;
+      if (w.state != WorkerState::gone) w.gone = now_;
     }
     pump_all();
   }
@@ -931,9 +938,27 @@
     const auto empty = [](const Copy& c) { return c.standing + c.loading + c.busy == 0; };
     f.copies.erase(std::remove_if(f.copies.begin(), f.copies.end(), empty), f.copies.end());
   }
+  // Danger: ids of workers never come back; kept for good, each deploy would leave some behind. What still
+  // names a place ends well before it is given to another.
+  void prune_workers() {
+    for (auto& w : workers_) {
+      const bool unused = w.state == WorkerState::gone && w.inflight == 0 && now_ - w.gone > kForget;
+      if (!unused || w.worker.empty()) continue;
+      const int index = index_of(w);
+      forget_copies(index);
+      const auto tag = tags_.find(tag_of(w.hash));
+      if (tag != tags_.end() && tag->second == index) tags_.erase(tag);
+      worker_index_.erase(w.worker);
+      free_places_.push_back(index);
+      w = Worker();
+      w.state = WorkerState::gone;
+    }
+  }
   void prune() {
+    prune_workers();
     const auto stale = [&](const std::unique_ptr<Function>& f) {
-      const bool unused = f->queue.empty() && f->copies.empty() && now_ - f->seen > kForget;
+      const Millis kept = functions_.size() > kFunctionsMost ? kSweep : f->run.known() ? kForget : kForgetNew;
+      const bool unused = f->queue.empty() && f->copies.empty() && now_ - f->seen > kept;
       if (unused) function_index_.erase(f->id);
       return unused;
     };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -247,6 +247,35 @@
 }
 
 // Load news of any content changes no rule and costs at most a worse choice.
+TEST(LongDay, AWorkerThatReplacesOneLongGoneIsAWorkerOfItsOwn) {
+  Settings s = settings();
+  s.miss_is_answered = true;
+  Router r(s);
+  for (int day = 0; day < 40; ++day) {  // each takes the place of one that went two before
+    const std::string id = "w" + std::to_string(day);
+    r.list({entry(id, WorkerState::ready, day == 0 ? 0 : r.now.count())}, ListKind::delta);
+    if (day > 0) {
+      const std::string before = "w" + std::to_string(day - 1);
+      r.list({entry(before, WorkerState::gone)}, ListKind::delta);
+      // What is still said of those that went changes nothing.
+      r.give(event::Probed{"w" + std::to_string(day - 2), Outcome::connect_failed, Millis(1), std::nullopt});
+      r.loaded("w" + std::to_string(day - 2), 1, 3);
+    }
+    r.pass(20000);
+    const auto sent = r.sends.size();
+    const std::string call = "c" + std::to_string(day);
+    r.request(call, 1, "safe", 8000);
+    for (int i = 0; i < 100 && r.answered.count(call) == 0; ++i) {
+      if (r.sends.size() > sent && r.sends.back().id == call) r.answer(r.sends.back(), Outcome::ok);
+      r.pass(20);
+    }
+    ASSERT_GT(r.sends.size(), sent);
+    EXPECT_EQ(r.sends.back().worker, id);
+    r.pass(45000);
+  }
+  EXPECT_FALSE(r.broken);
+}
+
 TEST(Health, AFunctionThatNoWorkerKnowsExcludesNone) {
   Settings s = settings();
   s.miss_is_answered = true;
