Lanes at a worker that is full of our own other calls no longer count as K

Checked with a probe in `shed` (not kept): of 547 refusals in one second 524 were held for a copy at a worker at this router's own limit, taken by calls of other functions, mean stretch 2. Line to blame: Policy `lanes_of` counted min(copies x lanes, limit) as K, whatever stood in that room; so E = N + 1 - L K / R stayed under 0 with L / R near 10, and no further copy was loaded where there was room. Now K counts at most what the function itself has at work there plus the room that is left. Test: a copy at a worker that is full of other calls; it fails before the change, with no order given.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -17,9 +17,9 @@
 using net::field;
 
 constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
-constexpr Millis kQuietMost{200};   // a link with something out that is silent for longer is asked for a sign
-constexpr Millis kSignMost{250};    // and ended if none comes: a host answers that beside its queue
-constexpr Millis kWholeMost{200};   // an answer that has begun is whole by then, or its rest never comes
+constexpr Millis kQuietMost{200};  // a link with something out that is silent for longer is asked for a sign
+constexpr Millis kSignMost{250};   // and ended if none comes: a host answers that beside its queue
+constexpr Millis kWholeMost{200};  // an answer that has begun is whole by then, or its rest never comes
 constexpr Millis kCheckPace{50};
 constexpr Millis kPastKept{10000};  // for so long a late answer to an attempt that has ended may still come
 constexpr std::size_t kPastMost = 2048;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -467,7 +467,8 @@
       const Worker& w = worker(c);
       if (!usable(w) || !serves(w, f.cls) || !worth_sending(r, w) || now_ < w.full_until) continue;
       const int copies = (warm(c) ? c.standing : 0) + c.loading;
-      k += std::min(copies * f.lanes, static_cast<int>(std::ceil(w.limit)));
+      const int room = std::max(0, static_cast<int>(std::ceil(w.limit)) - w.inflight);
+      k += std::min(copies * f.lanes, c.busy + room);
     }
     return k;
   }
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::uint64_t kLongestAllow = 3600 * 1000;
 constexpr std::size_t kAcceptsATurn = 64;
-constexpr core::Millis kWholeMost{2000};  // from connecting, or a request's first byte, to its last
-constexpr std::size_t kFaultsMost = 64;   // calls of one connection that were turned away unread
+constexpr core::Millis kWholeMost{2000};       // from connecting, or a request's first byte, to its last
+constexpr std::size_t kFaultsMost = 64;        // calls of one connection that were turned away unread
 constexpr std::size_t kUnreadMost = 1U << 20;  // answers that a client has not read
 
 }  // namespace
@@ -72,6 +72,7 @@
       return words[0] == "CALL" && open_calls.count(words[1]) == 0 && cancelled.count(words[1]) != 0;
     };
     const auto kept = std::remove_if(commands.rbegin(), commands.rend(), taken_back);
+    if (kept == commands.rend()) return;
     front_.counters_.add("resp.taken_back", static_cast<std::uint64_t>(commands.rend() - kept));
     commands.erase(commands.begin(), kept.base());
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -352,6 +352,25 @@
   EXPECT_NE(r.loads[1].worker, home(r));
 }
 
+TEST(Ordinary, LanesAtAWorkerFullOfOtherCallsAreNotCounted) {
+  Router r;
+  r.list({entry("w1")});
+  for (const std::uint64_t function : {1, 2}) {
+    r.request("warm" + std::to_string(function), function, "safe", 4000, 16);
+    r.loaded("w1", function, 1);
+    ASSERT_EQ(r.sends.size(), function);
+    r.answer(r.sends.back(), Outcome::ok);
+  }
+  r.list({entry("w2")}, ListKind::delta);
+  for (int i = 0; i < 20; ++i) r.request("other" + std::to_string(i), 2, "safe", 4000, 16);
+  const auto loads = r.loads.size(), sends = r.sends.size();
+  r.request("a", 1, "safe", 4000, 16);
+  EXPECT_EQ(r.sends.size(), sends);  // its copy stands where there is no room for a further call
+  ASSERT_EQ(r.loads.size(), loads + 1);
+  EXPECT_EQ(r.loads.back().worker, "w2");
+  EXPECT_EQ(r.loads.back().function, 1U);
+}
+
 TEST(Ordinary, AFreedLaneTakesTheHeadOfItsQueue) {
   Router r = warm_router();
   r.request("l1");
