One failed probe is no death: three on end, with no answer since, count as a loss

Cause, read off the refusals without a host: the probe on doubt travels over a connection that can be reset as well, and Policy on(Probed) took its first failure for a loss, cold for 17 s. The weakness was in the way probes were read. Now an answer heard since the question settles it, and three probes on end must fail. Test: the probe test meets a reset and a refused connect first, and only a third failure leaves the worker out.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -59,6 +59,7 @@
 constexpr double kShareLeast = 0.1;  // a nearly idle router knows too little of the mix to be scaled up more
 constexpr Millis kAlive{1000};      // a worker that answered in this time runs: two rounds of load news
 constexpr double kLateKept = 0.5;   // a late answer worth this part or more is waited for
+constexpr int kProbesLost = 3;      // so many failed probes on end, and no answer, count as a loss
 constexpr Millis kNever{-1e15};     // before any time of any clock
 
 // ---- State ---------------------------------------------------------------------------------------------
@@ -94,6 +95,7 @@
   bool waiting_told = true;  // nothing new to tell
   Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
+  int probes_lost = 0;  // since that
   double limit = kLimitFirst, waiting = 0, stretch = 1, cold_tokens = 0;
   std::vector<Health> classes;
 };
@@ -306,6 +308,10 @@
     if (!s_.probes || w.state != WorkerState::ready) return unreachable(w, reset);
     w.doubted_reset = reset || (w.doubted_reset && now_ - w.doubted <= kSilence);
     if (now_ - w.doubted <= kSilence) return;  // the probe is out
+    w.probes_lost = 0;
+    ask(w);
+  }
+  void ask(Worker& w) {
     w.doubted = now_;
     act(action::Probe{w.worker});
   }
@@ -875,12 +881,16 @@
   void on(const event::Probed& e) {
     Worker* w = find_worker(e.worker);
     if (!live_ || w == nullptr) return;
-    const bool doubted = w->doubted > kNever;
+    const Millis asked = w->doubted;
+    const bool doubted = asked > kNever;
     w->doubted = kNever;
     if (e.outcome == Outcome::ok) {
       note_alive(*w);
       read_report(*w, e.report);
     } else if (doubted && e.outcome != Outcome::timeout) {
+      // Danger: new connections are reset as well; what has answered meanwhile runs.
+      if (w->answered > asked) return;
+      if (++w->probes_lost < kProbesLost) return ask(*w);
       unreachable(*w, w->doubted_reset);
     } else if (!alive(*w)) {
       lose(*w, true);
