A worker's reports tell how many calls it serves at once, not four for all

A print in `shed` (not kept) told of 3,600 refusals: 3,100 with all four loads out, a third of these held for a copy at a worker at this router's own limit. A print of reports against limits told why: hosts there have 24 cores, not two, and report util 0.25 with ten calls in hand. Lines to blame: `stretch_of` and `read_report` counted every call past kAtOnce = 4 as waiting, so a host a quarter busy had a stretch of 2 to 3.4; `note_stretch` then kept the limit at 5 to 10, lanes there no longer counted as K, copies nobody needed were loaded and took the few loads out at once. Now the calls held for each busy part of the cores (up to 0.75 busy, no load under way) tell the size, four at least. Test: the same count of calls at two utils; it fails before the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,7 +47,10 @@
 constexpr int kLoadsOut = 4;           // a router's loads at once: more make a slow store slower
 constexpr double kPatience = 3;     // a load this many times the usual is no longer waited for
 constexpr double kSilentRuns = 6;   // a call out for this many usual runs is taken as lost, if that is longer
-constexpr double kAtOnce = 4;         // calls that a worker serves at once, about: more of them wait
+constexpr double kAtOnce = 4;       // calls that a worker serves at once till its reports tell: more wait
+constexpr double kSizeGain = 0.05;  // EWMA gain of what they tell: single reports are noisy
+constexpr double kSizeUtil = 0.75;  // busier cores hold calls that wait; those tell nothing of size
+constexpr double kSizeEasy = 0.5;   // up to what keeps this part of the cores busy, no call waits
 constexpr Millis kWatchPace{1000};    // pace of load news of a worker: reports are refreshed about as often
 constexpr double kWatched = 30;       // where answers bring reports: so many routers tell theirs in a pace
 constexpr std::size_t kTellBytes = 240;  // a peer message stays under the wire's limit
@@ -93,6 +96,7 @@
   std::uint64_t hash = 0;
   int inflight = 0, listed = 0;
   bool waiting_told = true;  // nothing new to tell
+  Average held, util;        // calls it reported to hold, and how busy its cores then were
   Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
   int probes_lost = 0;  // since that
@@ -198,7 +202,7 @@
     const double fresh = fading(w.stretch_at, kStretchTau);
     const double seen = w.stretch * fresh + fleet * (1 - fresh);
     if (now_ - w.waiting_at > kStretchTau) return seen;
-    return std::max(1 + w.waiting / kAtOnce, 1 + (seen - 1) / 2);
+    return std::max(1 + w.waiting / at_once(w), 1 + (seen - 1) / 2);
   }
   void note_stretch(Worker& w, double stretch) {
     stretch = std::min(std::max(stretch, 0.0), kStretchMost);
@@ -226,11 +230,30 @@
       }
     }
   }
+  // Danger: a count of calls alone does not tell how full a worker is: ten crowd two cores, and leave most of
+  // twenty-four idle. Taken for crowded, an idle fleet gets copies it does not need and calls are refused.
+  double at_once(const Worker& w) const {
+    if (w.util.value <= 0) return kAtOnce;
+    return std::min(std::max(kAtOnce, kSizeEasy * w.held.value / w.util.value), kLimitMost);
+  }
+  void learn_size(Worker& w, const std::vector<double>& report) {
+    const auto reported = [&](ReportField field) {
+      const auto found = std::find(s_.report_fields.begin(), s_.report_fields.end(), field);
+      const auto place = static_cast<std::size_t>(found - s_.report_fields.begin());
+      return place < report.size() ? report[place] : -1;
+    };
+    const double held = reported(ReportField::inflight), util = reported(ReportField::utilisation);
+    // Calls that wait for a load, or for a core, tell nothing of its size.
+    if (held < 0 || util < 0 || util > kSizeUtil || reported(ReportField::loading) > 0.5) return;
+    w.held.add(std::min(held, 1000.0), kSizeGain, kStretchMost);
+    w.util.add(util, kSizeGain, kStretchMost);
+  }
   void read_report(Worker& w, const Report& report) {
+    if (report) learn_size(w, *report);
     for (std::size_t i = 0; report && i < report->size() && i < s_.report_fields.size(); ++i) {
       const bool queue = s_.report_fields[i] == ReportField::queue;
       if (!queue && (reports_queue_ || s_.report_fields[i] != ReportField::inflight)) continue;
-      w.waiting = std::min(std::max((*report)[i] - (queue ? 0 : kAtOnce), 0.0), 1000.0);
+      w.waiting = std::min(std::max((*report)[i] - (queue ? 0 : at_once(w)), 0.0), 1000.0);
       w.waiting_at = now_;
       w.waiting_told = false;
     }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -646,6 +646,25 @@
   EXPECT_FALSE(r.broken);
   return places;
 }
+// The same count of calls crowds a small worker and leaves a large one mostly idle.
+TEST(Load, AWorkersReportsTellHowManyCallsItServesAtOnce) {
+  for (const double util : {0.25, 0.9}) {
+    Settings s = settings();
+    s.reports = ReportMode::answers;
+    s.report_fields = {ReportField::utilisation, ReportField::inflight, ReportField::loading};
+    Router r(s);
+    r.list({entry("w")});
+    r.request("first", 1, "safe", 4000, 64);
+    r.loaded("w", 1, 1);
+    ASSERT_EQ(r.sends.size(), 1U);
+    r.give(event::Answer{"first", "w", 0, Outcome::ok, Warmth::stood, 0, true, Millis(100),
+                         std::vector<double>{util, 14, 0}});
+    for (int i = 0; i < 5; ++i) r.request(id("more", i), 1, "safe", 4000, 64);
+    EXPECT_EQ(r.sends.size() == 6, util < 0.5) << util;
+    EXPECT_FALSE(r.broken);
+  }
+}
+
 TEST(Names, DecideNothing) {
   const auto plain = played("");
   EXPECT_GT(plain.size(), 50U);
