Sizes are read off all workers' reports together; a first report of zero sticks no more

Lines to blame, mine: `learn_size` fed Average::add, which bounds a sample by twenty times the average; one first report of an idle host made that zero, and so it stayed. Single hosts were learnt too slowly besides. Now two plain averages of one gain take the reports of all workers, and the weight, which is told to compare them, gives each its part. Test: a report of an idle worker comes first; it fails before this change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,7 +48,7 @@
 constexpr double kPatience = 3;     // a load this many times the usual is no longer waited for
 constexpr double kSilentRuns = 6;   // a call out for this many usual runs is taken as lost, if that is longer
 constexpr double kAtOnce = 4;       // calls that a worker serves at once till its reports tell: more wait
-constexpr double kSizeGain = 0.05;  // EWMA gain of what they tell: single reports are noisy
+constexpr double kSizeGain = 0.01;  // EWMA gain of what they tell: single reports are noisy
 constexpr double kSizeUtil = 0.75;  // busier cores hold calls that wait; those tell nothing of size
 constexpr double kSizeEasy = 0.5;   // up to what keeps this part of the cores busy, no call waits
 constexpr Millis kWatchPace{1000};    // pace of load news of a worker: reports are refreshed about as often
@@ -96,7 +96,6 @@
   std::uint64_t hash = 0;
   int inflight = 0, listed = 0;
   bool waiting_told = true;  // nothing new to tell
-  Average held, util;        // calls it reported to hold, and how busy its cores then were
   Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
   int probes_lost = 0;  // since that
@@ -154,6 +153,7 @@
   double longest_wait_ = 1e9;  // the shortest aim of all classes
   std::vector<ClassRecord> classes_;  // by slot
   Average any_run_, any_load_, peer_calls_;
+  double held_ = 0, busy_ = 0;  // EWMAs of one gain: calls that workers told of, and their weight then busy
   std::uint64_t next_serial_ = 1;
   std::deque<Millis> taken_, ordered_;  // for the load ration
   double served_ = 0, fleet_stretch_ = 1, own_calls_ = 0;  // own_calls_: of late, decaying
@@ -231,12 +231,13 @@
     }
   }
   // Danger: a count of calls alone does not tell how full a worker is: ten crowd two cores, and leave most of
-  // twenty-four idle. Taken for crowded, an idle fleet gets copies it does not need and calls are refused.
+  // twenty-four idle. Taken for crowded, an idle fleet gets copies it does not need and calls are refused. Read
+  // off all workers together: one alone would be taken for small until it had told enough.
   double at_once(const Worker& w) const {
-    if (w.util.value <= 0) return kAtOnce;
-    return std::min(std::max(kAtOnce, kSizeEasy * w.held.value / w.util.value), kLimitMost);
+    if (busy_ <= 0) return kAtOnce;
+    return std::min(std::max(kAtOnce, kSizeEasy * w.weight * held_ / busy_), kLimitMost);
   }
-  void learn_size(Worker& w, const std::vector<double>& report) {
+  void learn_size(const Worker& w, const std::vector<double>& report) {
     const auto reported = [&](ReportField field) {
       const auto found = std::find(s_.report_fields.begin(), s_.report_fields.end(), field);
       const auto place = static_cast<std::size_t>(found - s_.report_fields.begin());
@@ -245,8 +246,8 @@
     const double held = reported(ReportField::inflight), util = reported(ReportField::utilisation);
     // Calls that wait for a load, or for a core, tell nothing of its size.
     if (held < 0 || util < 0 || util > kSizeUtil || reported(ReportField::loading) > 0.5) return;
-    w.held.add(std::min(held, 1000.0), kSizeGain, kStretchMost);
-    w.util.add(util, kSizeGain, kStretchMost);
+    held_ += kSizeGain * (std::min(held, 1000.0) - held_);
+    busy_ += kSizeGain * (util * w.weight - busy_);
   }
   void read_report(Worker& w, const Report& report) {
     if (report) learn_size(w, *report);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -658,9 +658,13 @@
     r.loaded("w", 1, 1);
     ASSERT_EQ(r.sends.size(), 1U);
     r.give(event::Answer{"first", "w", 0, Outcome::ok, Warmth::stood, 0, true, Millis(100),
+                         std::vector<double>{0, 0, 0}});  // an idle one tells nothing yet
+    r.request("second", 1, "safe", 4000, 64);
+    ASSERT_EQ(r.sends.size(), 2U);
+    r.give(event::Answer{"second", "w", 0, Outcome::ok, Warmth::stood, 0, true, Millis(100),
                          std::vector<double>{util, 14, 0}});
     for (int i = 0; i < 5; ++i) r.request(id("more", i), 1, "safe", 4000, 64);
-    EXPECT_EQ(r.sends.size() == 6, util < 0.5) << util;
+    EXPECT_EQ(r.sends.size() == 7, util < 0.5) << util;
     EXPECT_FALSE(r.broken);
   }
 }
