An answer's stated length is held to its connection's share of memory before it is taken

Line to blame: longest_body, a constant. Tried and left out: closing an idle client when no descriptor is left. Test: of two answers on one connection the one said to be too long ends it, and nothing of it is served.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -43,7 +43,10 @@
 class Fleet::Link final : public net::Stream {
  public:
   Link(Fleet& fleet, std::string host, net::Socket socket)
-      : Stream(fleet.loop_, fleet.pool_, std::move(socket), true), fleet_(fleet), host_(std::move(host)) {
+      : Stream(fleet.loop_, fleet.pool_, std::move(socket), true),
+        fleet_(fleet),
+        host_(std::move(host)),
+        parser_(fleet.limits_.longest_answer) {
     timer_ = fleet_.loop_.at(fleet_.loop_.now() + fleet_.limits_.connect_timeout, [this] { connect_late(); });
   }
   ~Link() override {
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -20,6 +20,7 @@
 struct Limits {
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
+  std::size_t longest_answer = 1U << 20;  // the body of one; a link holds at most one that is not whole yet
   std::vector<std::string> report_fields;  // in the order in which the module wants them
 };
 
--- a/src/hosts/line_parser.cpp
+++ b/src/hosts/line_parser.cpp
@@ -23,7 +23,7 @@
     out.push_back(std::move(reply_));
     return true;
   }
-  const auto length = net::parse_whole(words[3], longest_body);
+  const auto length = net::parse_whole(words[3], longest_body_);
   if (!length) return false;
   body_left_ = *length;
   ending_ = 0;
--- a/src/hosts/line_parser.h
+++ b/src/hosts/line_parser.h
@@ -14,7 +14,8 @@
 
 class LineParser {
  public:
-  static constexpr std::size_t longest_line = 2048, longest_body = 1U << 20;
+  static constexpr std::size_t longest_line = 2048;
+  explicit LineParser(std::size_t longest_body = 1U << 20) : longest_body_(longest_body) {}
 
   // Takes all bytes; whole replies are added to `out`. False once the stream cannot be understood any more.
   bool take(std::string_view bytes, std::vector<Reply>& out);
@@ -22,6 +23,7 @@
 
  private:
   enum class State { line, body, spoilt };
+  std::size_t longest_body_;
   State state_ = State::line;
   std::string line_;
   Reply reply_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -91,7 +92,8 @@
     throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
   const auto config = read_file(file);
   core::Counters counters;
-  // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls.
+  // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls, and a quarter as
+  // answers of hosts that are not whole yet: a length is only what a host says, and a spoilt one says anything.
   const std::size_t quarter = (config.memory_mb << 20) / 4;
   net::BufferPool pool(quarter / net::BufferPool::block_size);
 
@@ -101,6 +103,9 @@
   host_limits.order_timeout = config.settings.order_timeout;
   host_limits.attempts_a_link = config.attempts_a_link;
   host_limits.links = config.sockets / 3;
+  const std::size_t longest_call =
+      std::max(config.amqp ? config.amqp->body_kb << 10 : 0, resp::Parser::longest_word);
+  host_limits.longest_answer = std::max(quarter / host_limits.links, longest_call);
   host_limits.report_fields = config.report_fields;
   hosts::Fleet fleet(loop, pool, counters, host_limits);
   core::Dispatcher dispatcher(
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -44,8 +44,9 @@
 struct Platform {
   World world;
   resp::Front front;
-  explicit Platform(std::size_t hosts, resp::Front::Limits limits = {})
-      : world(hosts),
+  explicit Platform(std::size_t hosts, resp::Front::Limits limits = {},
+                    const hosts::Limits& host_limits = World::limits())
+      : world(hosts, settings(), host_limits),
         front(world.loop, world.pool, world.dispatcher, world.counters, limits) {
     REQUIRE(front.listen("127.0.0.1:0"));
   }
@@ -246,6 +247,19 @@
   CHECK(p.world.counters.value("hosts.links_opened") == 2);
 }
 
+TEST_CASE("an answer said to be longer than memory allows ends its connection before it comes") {
+  hosts::Limits limits = World::limits();
+  limits.longest_answer = 100;
+  Platform p(1, {}, limits);
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-record", std::string(100, 'x'));
+  c.call("2", "bin-record", std::string(101, 'x'));
+  REQUIRE((c.answer("1") != nullptr && c.answer("2") != nullptr));
+  CHECK(c.answer("1")->at(1) == "OK");
+  CHECK(c.answer("2")->at(1) == "FAILED");
+  CHECK(p.world.counters.value("hosts.malformed") == 1);
+}
+
 TEST_CASE("a refused connect proves that nothing ran: a bin-record goes on to another host") {
   Platform p(2);
   p.world.host[0]->server.stop();
