--- a/src/main.cpp
+++ b/src/main.cpp
@@ -93,7 +93,7 @@
   const auto config = read_file(file);
   core::Counters counters;
   // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls, and a quarter as
-  // answers of hosts that are not whole yet: a length is only what a host says, and a spoilt one says anything.
+  // answers of hosts that are not whole yet: a length is only what a host says, a spoilt one says anything.
   const std::size_t quarter = (config.memory_mb << 20) / 4;
   net::BufferPool pool(quarter / net::BufferPool::block_size);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -231,8 +231,8 @@
     }
   }
   // Danger: a count of calls alone does not tell how full a worker is: ten crowd two cores, and leave most of
-  // twenty-four idle. Taken for crowded, an idle fleet gets copies it does not need and calls are refused. Read
-  // off all workers together: one alone would be taken for small until it had told enough.
+  // twenty-four idle. Taken for crowded, an idle fleet gets copies it does not need, and calls are refused.
+  // Read off all workers together: one alone would be taken for small until it had told enough.
   double at_once(const Worker& w) const {
     if (busy_ <= 0) return kAtOnce;
     return std::min(std::max(kAtOnce, kSizeEasy * w.weight * held_ / busy_), kLimitMost);
