Signs on quiet links are rationed; an aim tells the usual run till answers do

A link on which calls wait for a load is silent, and was asked every 0.2 s (src/hosts/fleet.cpp, check()).

Changed: a link is asked only when silent for two usual answers (0.2 to 0.4 s), less often with each sign, and all links together at one in twenty attempts (counted as hosts.signs_asked). With many routers a class's run starts at a fifth of its aim, counted as five samples, and a function's first answers tell at most twice that.

With few routers the start value is not used: they learn soon, and three tests of the module show that it would mislead them.

CallsDoNotSpillOverTheWholeFleet gave one of 100 routers so many calls that they now rightly count as a demand for 27 workers; it keeps its meaning with a tenth of the calls. Both new tests fail without the change.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -17,7 +17,13 @@
 using net::field;
 
 constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
-constexpr Millis kQuietMost{200};  // a link with something out that is silent for longer is asked for a sign
+constexpr Millis kQuietLeast{200};  // a link with something out that is silent for longer is asked for a sign,
+constexpr Millis kQuietMost{400};   // or, where answers take long as a rule, for longer than this
+constexpr double kQuietRuns = 2;    // so many usual answers lie between these two
+constexpr double kUsualGain = 0.05;
+constexpr double kSignShare = 0.05;  // signs asked for each attempt, over all links
+constexpr double kSignsMost = 5;     // and what may be saved up of them
+constexpr int kSignDoublings = 4;
 constexpr Millis kSignMost{250};   // and ended if none comes: a host answers that beside its queue
 constexpr Millis kWholeMost{200};  // an answer that has begun is whole by then, or its rest never comes
 constexpr Millis kCheckPace{50};
@@ -155,6 +161,7 @@
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
   Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0};
+  int signs_ = 0;  // asked for since the last answer of an attempt
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{};
 
@@ -192,8 +199,11 @@
       fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
       return end_later();
     }
-    if (open() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > kQuietMost) {
+    const Millis quiet = fleet_.quiet_most() * (1 << std::min(signs_, kSignDoublings));
+    if (open() && !attempts_.empty() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > quiet &&
+        fleet_.take_sign()) {
       sign_asked_ = now;
+      ++signs_;
       const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
       ask(tag, Asked::Kind::sign, 0, "health " + tag);
     }
@@ -293,6 +303,8 @@
     if (const auto found = attempts_.find(reply.id); found != attempts_.end()) {
       if (sign) return false;
       const core::Attempt attempt = found->second.attempt;
+      fleet_.note_answer(fleet_.loop_.now() - found->second.at);
+      signs_ = 0;
       attempts_.erase(found);
       fleet_.attempts_.erase(attempt);
       past(reply.id, true);
@@ -344,8 +356,25 @@
   }
 };
 
+Millis Fleet::quiet_most() const {
+  return std::min(std::max(usual_answer_ * kQuietRuns, kQuietLeast), kQuietMost);
+}
+void Fleet::note_answer(Millis took) { usual_answer_ += kUsualGain * (took - usual_answer_); }
+// Danger: each sign is cheap, but calls that wait for a load are silent as well. Asked for whatever is late, a
+// hundred invokers' signs are more than their calls.
+bool Fleet::take_sign() {
+  if (signs_left_ < 1) return false;
+  signs_left_ -= 1;
+  counters_.add("hosts.signs_asked");
+  return true;
+}
+
 Fleet::Fleet(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, Limits limits)
-    : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)) {}
+    : loop_(loop),
+      pool_(pool),
+      counters_(counters),
+      limits_(std::move(limits)),
+      signs_left_(kSignsMost) {}
 Fleet::~Fleet() = default;
 
 void Fleet::members(const core::MemberList& list) {
@@ -425,6 +454,7 @@
     });
   }
   attempts_[attempt] = link;
+  signs_left_ = std::min(signs_left_ + kSignShare, kSignsMost);
   link->exec(attempt, call, patience);
 }
 
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -54,12 +54,17 @@
   std::map<core::Attempt, Link*> attempts_;
   std::size_t links_ = 0;
   std::uint64_t last_tag_ = 0;
+  Millis usual_answer_{0};   // moving average over all hosts
+  double signs_left_ = 0;  // a token bucket, filled by what is sent
 
   Host* ready_host(const std::string& id);
   Link* link_for(Host& host, const std::string& ref);
   void later(std::function<void()> tell);
   core::Report read_report(const std::string& text) const;
   void link_gone(Link& link);
+  Millis quiet_most() const;
+  void note_answer(Millis took);
+  bool take_sign();
 };
 
 }  // namespace lotusyard::hosts
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,6 +39,9 @@
 constexpr double kEasy = 2;           // a stretch up to this is chance: service times vary
 constexpr double kFullStretch = 6;    // a worker that turns a call away counts as stretched this much
 constexpr double kBaseDrift = 1.002;  // the unloaded R may grow this much an answer: work changes in time
+constexpr double kAimRuns = 5;     // an aim is about so many runs, till answers tell
+constexpr int kAimSamples = 5;     // and counts as so many of them
+constexpr double kFirstMost = 2;   // a function's first answers tell of an unloaded R of at most so many usual
 constexpr double kLimitFirst = 6;  // own calls at one worker at first; adapts by AIMD
 constexpr double kLimitMost = 64;  // own calls at one worker at most: no known worker does more at once
 constexpr double kCrowded = 2;     // a stretch past this says that the worker's cores are oversubscribed
@@ -791,11 +794,11 @@
         if (e.warmth == Warmth::stood || e.warmth == Warmth::untold) {
           f.run.add(elapsed, kRunGain, kOutlier);
           any_run_.add(elapsed, kRunGain / 4, kOutlier);
-          drift(f.base, f.run.value);
+          drift(f.base, f.run.value, kFirstMost * base_of(f));
           if (r.cls >= 0) {
             ClassRecord& record = classes_[slot(r.cls)];
             record.run.add(elapsed, kRunGain / 4, kOutlier);
-            drift(record.base, record.run.value);
+            drift(record.base, record.run.value, record.run.value);
           }
           note_stretch(w, elapsed / base_of(f));
         } else if (e.warmth == Warmth::began) {
@@ -831,7 +834,9 @@
       default: break;
     }
   }
-  static void drift(double& base, double run) { base = base > 0 ? std::min(base * kBaseDrift, run) : run; }
+  static void drift(double& base, double run, double most) {
+    base = base > 0 ? std::min(base * kBaseDrift, run) : std::min(run, most);
+  }
   void end_load(Copy& c) {
     loads_out_ -= c.loading;
     c.loading = 0;
@@ -895,6 +900,13 @@
     live_ = true;
     random_.seed(s_.seed);
     classes_.resize(s_.classes.size() + 1);
+    for (std::size_t i = 0; shared() && i < s_.classes.size(); ++i) {
+      // Danger: a router that has few answers takes the first, slow for a load or a queue, for the usual, holds
+      // every aim for missed and refuses all that is not at once warm. An aim tells about what a run takes.
+      ClassRecord& record = classes_[i + 1];
+      record.base = s_.classes[i].aim.count() / kAimRuns;
+      if (record.base > 0) record.run = {record.base, kAimSamples};
+    }
     for (const auto& c : s_.classes) {
       if (c.aim.count() > 0) longest_wait_ = std::min(longest_wait_, c.aim.count());
     }
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -137,13 +137,14 @@
   Server<Peer, StandInHost> server;
   std::function<Reaction(const std::string& body)> react = [](const std::string&) { return Reaction(); };
   std::map<std::string, int> runs;  // by body: execs that may have run
-  int execs = 0, drops = 0, orders = 0;
+  int execs = 0, drops = 0, orders = 0, signs = 0;
   bool mute = false;  // asked for a sign it gives none, as if cut off
 
  private:
   void take(Peer& peer, const hosts::Reply& line) {
     if (line.id == "drop") ++drops;
     if (peer.stalled) return;
+    if (line.id == "health") ++signs;
     if (line.id == "health" && !mute) peer.write(line.word + " well - 0\r\n\r\n");
     if (line.id == "load") peer.write(line.word + " well l=inflight:1;util:0.5 0\r\n\r\n");
     if (line.id == "ensure") {
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -338,5 +338,26 @@
   CHECK(p.world.turn_until([&] { return p.world.counters.value("hosts.links_ended") == 1; }, 20000));
 }
 
+// Failure found: calls that waited for a load were silent, and each invoker asked for a sign every 0.2 s: on a
+// day of 100 invokers more signs than calls.
+TEST_CASE("silent links are asked for few signs, however many calls wait on them") {
+  World world(12);
+  for (auto& host : world.host) host->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  for (std::size_t i = 0; i < 24; ++i) {
+    core::Call call;
+    call.ref = net::hex16(i + 1);
+    call.class_name = "bin-check";
+    call.function_name = "00000000000000a1";
+    world.fleet.exec({i + 1, 0}, "h" + std::to_string(i % 12), call, Millis(5000));
+  }
+  const Millis began = world.loop.now();
+  world.turn_until([&] { return world.loop.now() - began > Millis(1500); }, 20000);
+  int execs = 0, signs = 0;
+  for (const auto& host : world.host) execs += host->execs, signs += host->signs;
+  CHECK(execs == 24);
+  CHECK(signs >= 1);
+  CHECK(signs <= 6);  // what is saved up at first, and one for twenty attempts
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -181,14 +181,36 @@
   EXPECT_EQ(r.refused, std::vector<std::string>{"later"});
 }
 
+// Failure found: on a day of 100 routers the first answers, slow for a load, passed for the usual run; every call
+// that met no copy then seemed past its aim and was refused at once, the whole day long.
+TEST(GivingUp, FirstAnswersThatWaitedForALoadTellNoUsualRun) {
+  Settings s = crowd_settings();
+  s.miss_is_answered = true;
+  s.tells_warm = false;
+  for (auto& c : s.classes) c.aim = Millis(240);
+  Router r(s);
+  r.list(fleet());
+  for (int i = 0; i < 6; ++i) {
+    r.request(id("x", i), static_cast<std::uint64_t>(i), "safe", 950);
+    ASSERT_EQ(r.sends.size(), static_cast<std::size_t>(i + 1));
+    r.answer(r.sends.back(), Outcome::ok, 600, Warmth::untold);
+    r.pass(100);
+  }
+  r.request("y", 77, "safe", 950);
+  ASSERT_EQ(r.sends.size(), 7U);
+  r.answer(r.sends.back(), Outcome::miss, 1);
+  EXPECT_TRUE(r.refused.empty());
+  EXPECT_EQ(r.loads.size(), 1U);
+}
+
 // Failure found (h6ac7e3): calls that met full workers spilled on and on; their loads pushed copies out for good.
 TEST(Places, CallsDoNotSpillOverTheWholeFleet) {
   Router r(crowd_settings());
   r.list(fleet());
   std::set<std::string> used;
   std::size_t told = 0;
-  for (int i = 0; i < 900; ++i) {
-    if (i % 30 == 0) r.request(id("x", i));
+  for (int i = 0; i < 3000; ++i) {
+    if (i % 300 == 0) r.request(id("x", i));
     while (told < r.sends.size()) {
       used.insert(r.sends[told].worker);
       const auto send = r.sends[told++];
