A call goes to the place of its function where it waits least by the reports

A call at a host that reports none takes 41 ms (median), at one with ten 194 ms, with sixteen 340 ms: 15% of calls were late, 6% failed at their deadline, and these were sent at once and met no miss. Every invoker keeps to the first of a function's agreed places that is warm (src/policy.cpp, pump(), warm_lane()), and leaves it only at a wait of over 137 ms (worth_sending()); so do all others.

Changed: with many routers a call goes where it waits least: calls reported in hand, which fade to the mean of all reports, over the host's size, and a little for each further place. A place that may hold no copy is tried too, for a miss costs a round trip; then the call goes back at once, and a function that meets its own calls at a crowded host gets a copy there.

--- a/src/average.h
+++ b/src/average.h
@@ -32,10 +32,4 @@
   return mix(hash);
 }
 
-inline std::string tag_of(std::uint64_t hash) {  // three printable letters of a hash
-  std::string tag;
-  for (int i = 0; i < 3; ++i) tag += static_cast<char>('0' + (hash >> (8 + 6 * i)) % 64);
-  return tag;
-}
-
 }  // namespace robinfold
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,15 +54,14 @@
 constexpr double kSizeGain = 0.01;  // EWMA gain of what they tell: single reports are noisy
 constexpr double kSizeUtil = 0.75;  // busier cores hold calls that wait; those tell nothing of size
 constexpr double kSizeEasy = 0.5;   // up to what keeps this part of the cores busy, no call waits
-constexpr Millis kWatchPace{1000};    // pace of load news of a worker: reports are refreshed about as often
-constexpr double kWatched = 30;       // where answers bring reports: so many routers tell theirs in a pace
-constexpr std::size_t kTellBytes = 240;  // a peer message stays under the wire's limit
+constexpr Millis kLoadTau{4000};  // what a worker's reports told of its calls is old news after this
+constexpr double kFurther = 0.5;  // each further place of a function counts as so many runs' wait
+constexpr double kUnknown = 0.5;  // so does one past the agreed places that has not served us
+constexpr Millis kAbsentFor{1500};  // a place that said it has no copy is not tried again before
+constexpr double kCrowdGain = 0.3;  // EWMA gain of the calls of its function that a call met
+constexpr double kCrowdBusy = 0.5;  // a function that meets so many at a crowded worker gets a further place
 constexpr int kSpill = 2;           // past so many times its agreed places a call does not spill
 constexpr double kPerWorker = 2;    // calls of one function at once that one worker should serve
-constexpr char kLostMark = '!';      // stands for a load in news of a worker that is lost
-constexpr char kCallsTag[] = "!!!";  // stands for a worker in a router's news of its own calls
-constexpr double kNewsGain = 0.002;  // EWMA gain of it: hundreds of routers tell, some far busier
-constexpr double kShareLeast = 0.1;  // a nearly idle router knows too little of the mix to be scaled up more
 constexpr Millis kAlive{1000};      // a worker that answered in this time runs: two rounds of load news
 constexpr double kLateKept = 0.5;   // a late answer worth this part or more is waited for
 constexpr int kProbesLost = 3;      // so many failed probes on end, and no answer, count as a loss
@@ -71,7 +70,7 @@
 // ---- State ---------------------------------------------------------------------------------------------
 struct Copy {  // what is believed of one function at one worker
   int worker = 0, standing = 0, loading = 0, busy = 0;
-  Millis used{kNever}, load_began{kNever};
+  Millis used{kNever}, load_began{kNever}, absent_at{kNever};
   bool proven = false;  // proven: it has served a call or was told of
 };
 struct Function {
@@ -85,6 +84,7 @@
   std::vector<int> places;  // workers in the order in which this router uses them
   Millis order_after{kNever};  // no further order before
   bool missed = false;  // the last call sent found no copy
+  double crowd = 0;    // calls of it that ours met at workers
   int agreed = 0, list_version = -1;  // agreed: how many of them all routers share for this function
 };
 struct Health {  // of one class at one worker, or of the worker as a whole
@@ -94,15 +94,14 @@
 };
 struct Worker : WorkerEntry, Health {
   Millis limit_moved{kNever}, heard{kNever}, answered{kNever}, full_until{kNever}, stretch_at{kNever};
-  Millis died{kNever}, loss_told{kNever}, cold_filled{kNever}, probed{kNever}, waiting_at{kNever},
-      peers_told{kNever}, gone{kNever};
+  Millis died{kNever}, cold_filled{kNever}, waiting_at{kNever}, gone{kNever};
   std::uint64_t hash = 0;
   int inflight = 0, listed = 0;
-  bool waiting_told = true;  // nothing new to tell
   Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
   int probes_lost = 0;  // since that
-  double limit = kLimitFirst, waiting = 0, stretch = 1, cold_tokens = 0;
+  double limit = kLimitFirst, waiting = 0, stretch = 1, cold_tokens = 0, held = 0;  // held: as reported
+  Millis held_at{kNever};
   std::vector<Health> classes;
 };
 struct ClassRecord {
@@ -147,7 +146,7 @@
   bool live_ = false, reports_queue_ = false;
   std::mt19937_64 random_;
   std::vector<Worker> workers_;
-  std::unordered_map<std::string, int> worker_index_, tags_;
+  std::unordered_map<std::string, int> worker_index_;
   std::vector<int> free_places_;  // in workers_, of those long gone
   std::vector<std::unique_ptr<Function>> functions_;  // in order of first sight, never of id
   std::unordered_map<std::uint64_t, Function*> function_index_;
@@ -155,13 +154,14 @@
   std::unordered_map<std::string, std::uint64_t> request_index_;
   double longest_wait_ = 1e9;  // the shortest aim of all classes
   std::vector<ClassRecord> classes_;  // by slot
-  Average any_run_, any_load_, peer_calls_;
+  Average any_run_, any_load_;
+  double mean_held_ = 0;        // of all reports of late
   double held_ = 0, busy_ = 0;  // EWMAs of one gain: calls that workers told of, and their weight then busy
   std::uint64_t next_serial_ = 1;
   std::deque<Millis> taken_, ordered_;  // for the load ration
-  double served_ = 0, fleet_stretch_ = 1, own_calls_ = 0;  // own_calls_: of late, decaying
+  double served_ = 0, fleet_stretch_ = 1;
   int loads_out_ = 0, list_version_ = 0;
-  Millis watch_at_{kNever}, stretch_at_{kNever}, served_at_{kNever}, watched_{kNever}, own_calls_at_{kNever};
+  Millis watch_at_{kNever}, stretch_at_{kNever}, served_at_{kNever};
 
   void act(Action action) { out_->push_back(std::move(action)); }
 
@@ -252,65 +252,20 @@
     held_ += kSizeGain * (std::min(held, 1000.0) - held_);
     busy_ += kSizeGain * (util * w.weight - busy_);
   }
+  double held_at(const Worker& w) const {
+    return mean_held_ + (w.held - mean_held_) * fading(w.held_at, kLoadTau);
+  }
   void read_report(Worker& w, const Report& report) {
     if (report) learn_size(w, *report);
     for (std::size_t i = 0; report && i < report->size() && i < s_.report_fields.size(); ++i) {
       const bool queue = s_.report_fields[i] == ReportField::queue;
       if (!queue && (reports_queue_ || s_.report_fields[i] != ReportField::inflight)) continue;
-      w.waiting = std::min(std::max((*report)[i] - (queue ? 0 : at_once(w)), 0.0), 1000.0);
+      const double held = std::min(std::max((*report)[i], 0.0), 1000.0);
+      w.held = held_at(w) + (now_ - w.held_at > kLoadTau ? 1 : 0.5) * (held - held_at(w));
+      w.held_at = now_;
+      mean_held_ += kRunGain * (held - mean_held_);
+      w.waiting = std::max(held - (queue ? 0 : at_once(w)), 0.0);
       w.waiting_at = now_;
-      w.waiting_told = false;
-    }
-  }
-  // Danger: one router of many hears from a worker once in seconds. Two routers a worker probe it (or whoever
-  // has an answer tells) and tell all. A false or lost message costs at most some worse choices.
-  void watch_loads() {
-    if (!s_.peers || s_.routers < 2) return;
-    const auto all = static_cast<std::uint64_t>(s_.routers), me = static_cast<std::uint64_t>(s_.rank);
-    const bool probes = s_.reports == ReportMode::probe && s_.probes;
-    const Millis half = kWatchPace / 2;
-    for (auto& w : workers_) {
-      const bool mine = w.hash % all == me || (w.hash >> 32) % all == me;
-      if (!probes || !mine || w.state != WorkerState::ready) continue;
-      if (now_ - std::max(w.probed + half, w.waiting_at) < half) continue;
-      w.probed = now_;
-      act(action::Probe{w.worker});
-    }
-    if (now_ - watched_ < (probes ? kBackOff : kWatchPace * (s_.routers / kWatched))) return;
-    std::string text = kCallsTag;
-    text += static_cast<char>('0' + static_cast<int>(4 * std::log2(std::max(own_calls(), 1.0))));
-    for (auto& w : workers_) {
-      if (w.waiting_told || now_ - w.waiting_at > half || now_ - w.peers_told < half) continue;
-      w.waiting_told = true;
-      if (text.size() + 4 > kTellBytes) continue;
-      text += tag_of(w.hash) + static_cast<char>('0' + static_cast<int>(std::min(w.waiting, 60.0)));
-    }
-    if (text.size() <= 4) return;
-    watched_ = now_;
-    act(action::Tell{std::nullopt, text});
-  }
-  double own_calls() const { return own_calls_ * fading(own_calls_at_, kDemandTau); }
-  // Danger: a busy router that takes itself for the mean one spreads its functions over all workers, and the
-  // loads push each other out. So routers tell their calls of late; this is own calls over the mean's.
-  double own_share() const {
-    return peer_calls_.known() ? std::max(own_calls() / std::max(peer_calls_.value, 0.1), kShareLeast) : 1;
-  }
-  void hear_news(const std::string& text) {
-    for (std::size_t i = 0; i + 4 <= text.size(); i += 4) {
-      const char level = text[i + 3];
-      if (text.compare(i, 3, kCallsTag) == 0) peer_calls_.add(std::exp2((level - '0') / 4.0), kNewsGain, 1e9);
-      const auto found = tags_.find(text.substr(i, 3));
-      if (!live_ || found == tags_.end()) continue;
-      Worker& w = at(found->second);
-      if (level == kLostMark) {
-        w.loss_told = now_;
-        if (!alive(w)) lose(w, false);
-        continue;
-      }
-      w.waiting = std::min(std::max(level - '0', 0), 60);
-      w.waiting_at = w.peers_told = now_;
-      note_alive(w);
-      w.waiting_told = true;
     }
   }
   // Danger: a class may fail at part of the workers, or everywhere: it is judged against the class elsewhere.
@@ -343,19 +298,15 @@
     act(action::Probe{w.worker});
   }
   void unreachable(Worker& w, bool died) {
-    if (died || !alive(w)) lose(w, true);
+    if (died || !alive(w)) lose(w);
     eject(w);
   }
   bool alive(const Worker& w) const { return now_ - w.answered < kAlive; }
-  // Danger: after a restart not yet listed many routers send a cold worker their full load. Who meets a loss
-  // tells all: the cold budget holds till it is back and a cold time from then. Guards against crashes, cut
-  // links, wrong lists. Harm: a router cut off from a live worker slows others; news of one heard is dropped.
-  void lose(Worker& w, bool tell) {
+  // Danger: after a restart not yet listed many routers send a cold worker their full load. The cold budget
+  // holds till it is back and a cold time from then. Guards against crashes, cut links, wrong lists.
+  void lose(Worker& w) {
     if (!w.lost) forget_copies(index_of(w));
     w.lost = true;
-    if (!tell || !s_.peers || s_.routers < 2 || now_ - w.loss_told < kAlive) return;
-    w.loss_told = now_;
-    act(action::Tell{std::nullopt, tag_of(w.hash) + kLostMark});
   }
   void note_alive(Worker& w) {
     w.answered = now_;
@@ -404,7 +355,6 @@
     static_cast<WorkerEntry&>(w) = entry;
     w.listed = list_version_;
     w.hash = hash_of(entry.worker);
-    tags_[tag_of(w.hash)] = index;
     if (!(w.weight > 0)) w.weight = 1;
   }
 
@@ -418,7 +368,7 @@
   }
   void place(Function& f) {
     const double each = std::min(kPerWorker, f.lanes / 2.0);
-    const int wanted = 1 + static_cast<int>(std::min(1000.0, demand(f) * s_.routers / own_share() / each));
+    const int wanted = 1 + static_cast<int>(std::min(1000.0, demand(f) * s_.routers / each));
     if (f.list_version == list_version_ && wanted == f.agreed) return;
     std::vector<std::pair<std::uint64_t, int>> order;
     for (const auto& w : workers_) {
@@ -545,9 +495,47 @@
     }
     return best;
   }
+  // With many routers. Danger: each router keeps to the first of a function's places that is warm, and so do
+  // all: some workers queue all day beside idle ones. A call goes where it waits least by the reports; a place
+  // that may hold no copy is tried too, for a miss costs a round trip, unless one was met there of late.
+  Copy* shared_lane(Function& f, const Request& r) {
+    place(f);
+    const std::size_t most = std::min(f.places.size(), static_cast<std::size_t>(f.agreed + kSpill));
+    int best = -1;
+    double least = 0;
+    for (std::size_t i = 0; i < most; ++i) {
+      Worker& w = at(f.places[i]);
+      if (!has_room(w)) continue;
+      const Copy* c = find_copy(f, f.places[i]);
+      const bool known = c != nullptr && warm(*c);
+      if (!known && (c != nullptr && (c->loading > 0 || now_ - c->absent_at < kAbsentFor))) continue;
+      if (!known && !r.attempts.empty() && i > 0) continue;
+      if (known && c->busy >= c->standing * f.lanes) continue;
+      if (!worth_sending(r, w) || !may_send(r, w)) continue;
+      double cost = std::max(1.0, (held_at(w) + w.inflight + 1) / w.weight) + kFurther * static_cast<double>(i);
+      if (!known && i >= static_cast<std::size_t>(f.agreed)) cost += kUnknown;
+      if (!r.attempts.empty() && r.attempts.back().worker == f.places[i]) cost *= 4;
+      if (best >= 0 && cost >= least) continue;
+      best = f.places[i];
+      least = cost;
+    }
+    if (best < 0) return warm_lane(f, r);
+    Copy& c = copy_at(f, best);
+    c.standing = std::max(c.standing, 1);
+    return &c;
+  }
+  // A function that meets its own calls at crowded workers, and has no copy where a call of it was to spill to,
+  // gets one there: nothing is held for it, later calls find it.
+  void spread(Function& f, Worker& w, Copy& c) {
+    if (!shared() || f.crowd < kCrowdBusy || f.places.empty() || f.places[0] == c.worker) return;
+    const Worker& first = at(f.places[0]);
+    if (!usable(first) || (held_at(first) + 1) / first.weight < kCrowded) return;
+    if (!may_load(w) || !may_order() || now_ < f.order_after || cold(w)) return;
+    order_load(f, w, c);
+  }
   void pump(Function& f) {
     while (Request* r = head(f)) {
-      Copy* c = warm_lane(f, *r);
+      Copy* c = shared() && s_.miss_is_answered ? shared_lane(f, *r) : warm_lane(f, *r);
       if (c == nullptr) return;
       send(*r, *c);
     }
@@ -598,6 +586,9 @@
       return pump(f);
     }
     if (rationed || now_ < f.order_after) return;
+    order_load(f, w, c);
+  }
+  void order_load(Function& f, Worker& w, Copy& c) {
     act(action::Load{w.worker, f.id, warm(c) ? std::min(c.standing + 1, 16) : 1});
     if (s_.load_window.count() > 0) ordered_.push_back(now_);
     ++loads_out_;
@@ -719,8 +710,6 @@
   void on(const event::Request& e) {
     if (!live_ || request_index_.count(e.id) != 0) return;
     if (s_.load_window.count() > 0) taken_.push_back(now_);
-    own_calls_ = 1 + own_calls();
-    own_calls_at_ = now_;
     forget_taken();
     Request& r = requests_[next_serial_];
     r.id = e.id;
@@ -794,7 +783,7 @@
         if (e.warmth == Warmth::stood || e.warmth == Warmth::untold) {
           f.run.add(elapsed, kRunGain, kOutlier);
           any_run_.add(elapsed, kRunGain / 4, kOutlier);
-          drift(f.base, f.run.value, kFirstMost * base_of(f));
+          drift(f.base, f.run.value, shared() ? kFirstMost * base_of(f) : f.run.value);
           if (r.cls >= 0) {
             ClassRecord& record = classes_[slot(r.cls)];
             record.run.add(elapsed, kRunGain / 4, kOutlier);
@@ -805,6 +794,7 @@
           note_load(f, std::max(elapsed - run_of(f), 1.0));
         }
         judge(w, r.cls, false);
+        f.crowd += kCrowdGain * (e.crowd - f.crowd);
         f.missed = false;
         if (now_ >= w.ejected_until) w.probation = false;
         c.standing = std::max(c.standing, 1);
@@ -816,7 +806,9 @@
       }
       case Outcome::miss:
         c.standing = 0;
+        if (shared()) c.absent_at = now_;
         f.missed = true;
+        spread(f, w, c);
         break;
       case Outcome::full:
         // Danger: many routers coming back after the same short while keep a full worker full.
@@ -884,7 +876,7 @@
     }
     finish(*r);
   }
-  void on(const event::Peer& e) { hear_news(e.text); }
+  void on(const event::Peer&) {}  // routers do not talk
   void on(const event::StreamBegan& e) {
     if (Request* r = find_request(e.id)) r->streaming = true;
   }
@@ -929,7 +921,7 @@
       if (++w->probes_lost < kProbesLost) return ask(*w);
       unreachable(*w, w->doubted_reset);
     } else if (!alive(*w)) {
-      lose(*w, true);
+      lose(*w);
     }
   }
   void on(const event::Stop&) { *this = State(); }
@@ -949,7 +941,6 @@
     }
     for (auto& f : functions_) upkeep(*f);
     find_lost();
-    watch_loads();
     pump_all();
     for (auto& f : functions_) shed(*f);
     prune();
@@ -982,7 +973,9 @@
       const Millis most(kPatience * std::max(load_of(f), kSilence.count()));
       if (c.loading > 0 && now_ - c.load_began > most) end_load(c);
     }
-    const auto empty = [](const Copy& c) { return c.standing + c.loading + c.busy == 0; };
+    const auto empty = [&](const Copy& c) {
+      return c.standing + c.loading + c.busy == 0 && now_ - c.absent_at > kAbsentFor;
+    };
     f.copies.erase(std::remove_if(f.copies.begin(), f.copies.end(), empty), f.copies.end());
   }
   // Danger: ids of workers never come back; kept for good, each deploy would leave some behind. What still
@@ -993,8 +986,6 @@
       if (!unused || w.worker.empty()) continue;
       const int index = index_of(w);
       forget_copies(index);
-      const auto tag = tags_.find(tag_of(w.hash));
-      if (tag != tags_.end() && tag->second == index) tags_.erase(tag);
       worker_index_.erase(w.worker);
       free_places_.push_back(index);
       w = Worker();
