First tries are known by what most calls are given; an error at once excludes its host

The most that any call was given passed for a first try's (src/policy.cpp, on(Request), first_try), so that first tries had an aim long past. Second, five of 40 hosts failed 85% of their calls for 10 s; judge() wants two failures of a class at a host and tries it again after 1 s, while one of 100 invokers calls a host once in 5 s: 2,252 errors in all.

Changed: a vote of the last calls tells what a first try is given. With many routers an error at once (under half a run), of a class that does well elsewhere, excludes its host for the class for 3 s, doubled if it fails again; after an error a call may also go to a place that is not known to hold a copy.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,6 +23,8 @@
 constexpr Millis kStretchTau{2000};   // a worker's stretch is old news after this
 constexpr Millis kSilence{400};       // least quiet spell that counts as a stall; pauses are of this size
 constexpr Millis kEjectFirst{1000};   // first exclusion; doubles with each relapse
+constexpr double kEjectShared = 3;    // with many routers so many times that: each calls there seldom
+constexpr double kErrorWide = 0.2;    // a class that fails so often everywhere tells of no worker
 constexpr Millis kEjectMost{8000};    // longest exclusion: spells last tens of seconds
 constexpr Millis kForget{60000};      // records nobody asked for in this time are dropped
 constexpr Millis kForgetNew{5000};    // those of functions that no worker has served yet
@@ -41,7 +43,8 @@
 constexpr double kBaseDrift = 1.002;  // the unloaded R may grow this much an answer: work changes in time
 constexpr double kAimRuns = 5;     // an aim is about so many runs, till answers tell
 constexpr int kAimSamples = 5;     // and counts as so many of them
-constexpr double kFirstMost = 2;   // a function's first answers tell of an unloaded R of at most so many usual
+constexpr double kFirstMost = 2;   // a function's first answers tell of an R of at most so many usual
+constexpr int kFirstTries = 30;    // a vote on what a first try is given goes on for so many
 constexpr double kLimitFirst = 6;  // own calls at one worker at first; adapts by AIMD
 constexpr double kLimitMost = 64;  // own calls at one worker at most: no known worker does more at once
 constexpr double kCrowded = 2;     // a stretch past this says that the worker's cores are oversubscribed
@@ -55,8 +58,7 @@
 constexpr double kSizeUtil = 0.75;  // busier cores hold calls that wait; those tell nothing of size
 constexpr double kSizeEasy = 0.5;   // up to what keeps this part of the cores busy, no call waits
 constexpr Millis kLoadTau{8000};  // what a worker's reports told of its calls is old news after this
-constexpr double kFurther = 0.25; // each further place of a function counts as so many runs' wait
-constexpr double kUnknown = 0.5;  // so does one past the agreed places that has not served us
+constexpr double kFurther = 0.25;  // each further place of a function counts as so many runs' wait
 constexpr Millis kAbsentFor{1500};  // a place that said it has no copy is not tried again before
 constexpr double kCrowdGain = 0.3;  // EWMA gain of the calls of its function that a call met
 constexpr double kCrowdBusy = 0.5;  // a function that meets so many at a crowded worker gets a further place
@@ -107,7 +109,8 @@
 struct ClassRecord {
   Average run;
   double base = 0, errors = 0;  // unloaded R; share that failed of late, whoever served
-  Millis first_try{0};          // what a first try is given
+  Millis first_try{0};          // what a first try is given: most calls are one
+  int first_tries = 0;          // how many more were given that than something else, of late
 };
 enum class AttemptState { out, never_ran, may_have_run };
 struct Attempt {
@@ -124,6 +127,7 @@
   Millis deadline{0}, aim_at{0};
   bool done = false, streaming = false;
   std::vector<Attempt> attempts;
+  bool missed() const { return !attempts.empty() && attempts.back().state == AttemptState::never_ran; }
   bool out() const {  // one at a time
     return !attempts.empty() && attempts.back().state == AttemptState::out;
   }
@@ -269,17 +273,20 @@
     }
   }
   // Danger: a class may fail at part of the workers, or everywhere: it is judged against the class elsewhere.
-  void judge(Worker& w, int cls, bool failed) {
+  // Danger: each of many routers would pay two failures at each worker that fails. An error at once tells.
+  void judge(Worker& w, int cls, bool failed, bool at_once = false) {
     Health& h = w.classes[slot(cls)];
     double& usual = classes_[slot(cls)].errors;
     h.errors += kErrorGain * (failed - h.errors);
     usual += kRunGain / 2 * (failed - usual);
     if (!failed && now_ >= h.ejected_until) h.probation = false;
-    if (failed && (h.probation || h.errors > kErrorBad + usual / 2)) eject(h);
+    const bool sign = shared() && at_once && usual < kErrorWide;
+    if (failed && (h.probation || sign || h.errors > kErrorBad + usual / 2)) eject(h);
   }
   void eject(Health& h) {
     if (now_ < h.ejected_until) return;
-    h.eject_span = h.probation ? std::min(h.eject_span * 2, kEjectMost) : kEjectFirst;
+    const Millis first = kEjectFirst * (shared() ? kEjectShared : 1);
+    h.eject_span = h.probation ? std::min(h.eject_span * 2, kEjectMost) : first;
     h.ejected_until = now_ + h.eject_span;
     h.probation = true;
     h.errors = 0;
@@ -317,9 +324,9 @@
   }
   double fleet_rate() const {  // what this router gets served by a warm worker, for each millisecond
     const auto is_warm = [&](const Worker& w) { return w.state == WorkerState::ready && !cold(w); };
-    const auto warm = std::count_if(workers_.begin(), workers_.end(), is_warm);
+    const auto all = static_cast<double>(std::count_if(workers_.begin(), workers_.end(), is_warm));
     const double served = served_ * fading(served_at_, kRateTau) / kRateTau.count();
-    return warm > 0 && served > 0 ? served / static_cast<double>(warm) : 1.0 / s_.routers;
+    return all > 0 && served > 0 ? served / all : 1.0 / s_.routers;
   }
 
   void on(const event::List& e) {
@@ -441,6 +448,7 @@
   bool warm(const Copy& c) const {  // beliefs lapse after the told keep-alive
     return c.standing > 0 && (c.busy > 0 || now_ - c.used <= s_.keep_alive || s_.keep_alive.count() <= 0);
   }
+  bool absent(const Copy& c) const { return now_ - c.absent_at <= kAbsentFor; }
   // K in lanes: copies in use where the head may go; something is held. Danger: lanes at a worker that turns
   // calls away are taken by other routers. Counted, they hold our calls to the deadline while others idle.
   int lanes_of(Function& f) {
@@ -496,9 +504,8 @@
     }
     return best;
   }
-  // With many routers. Danger: each router keeps to the first of a function's places that is warm, and so do
-  // all: some workers queue all day beside idle ones. A call goes where it waits least by the reports; a place
-  // that may hold no copy is tried too, for a miss costs a round trip, unless one was met there of late.
+  // Danger: each of many routers keeps to the first warm place of a function: some workers queue all day by
+  // idle ones. A call goes where it waits least by reports, also where a copy may stand: misses are cheap.
   Copy* shared_lane(Function& f, const Request& r) {
     place(f);
     const std::size_t most = std::min(f.places.size(), static_cast<std::size_t>(f.agreed + kSpill));
@@ -509,12 +516,12 @@
       if (!has_room(w)) continue;
       const Copy* c = find_copy(f, f.places[i]);
       const bool known = c != nullptr && warm(*c);
-      if (!known && (c != nullptr && (c->loading > 0 || now_ - c->absent_at < kAbsentFor))) continue;
-      if (!known && !r.attempts.empty() && i > 0) continue;
+      if (!known && c != nullptr && (c->loading > 0 || absent(*c))) continue;
+      if (!known && i > 0 && (r.attempts.size() > 1 || r.missed())) continue;
       if (known && c->busy >= c->standing * f.lanes) continue;
       if (!worth_sending(r, w) || !may_send(r, w)) continue;
-      double cost = std::max(1.0, (held_at(w) + w.inflight + 1) / w.weight) + kFurther * static_cast<double>(i);
-      if (!known && i >= static_cast<std::size_t>(f.agreed)) cost += kUnknown;
+      const double further = static_cast<double>(i) + (!known && static_cast<int>(i) >= f.agreed ? 2.0 : 0.0);
+      double cost = std::max(1.0, (held_at(w) + w.inflight + 1) / w.weight) + kFurther * further;
       if (!r.attempts.empty() && r.attempts.back().worker == f.places[i]) cost *= 4;
       if (best >= 0 && cost >= least) continue;
       best = f.places[i];
@@ -525,14 +532,12 @@
     c.standing = std::max(c.standing, 1);
     return &c;
   }
-  // A function that meets its own calls at crowded workers, and has no copy where a call of it was to spill to,
-  // gets one there: nothing is held for it, later calls find it.
+  // A function that meets its own calls at a crowded worker gets a copy where one found none, for later.
   void spread(Function& f, Worker& w, Copy& c) {
     if (!shared() || f.crowd < kCrowdBusy || f.places.empty() || f.places[0] == c.worker) return;
     const Worker& first = at(f.places[0]);
-    if (!usable(first) || (held_at(first) + 1) / first.weight < kCrowded) return;
-    if (!may_load(w) || !may_order() || now_ < f.order_after || cold(w)) return;
-    order_load(f, w, c);
+    const bool crowded = usable(first) && held_at(first) + 1 >= kCrowded * first.weight;
+    if (crowded && may_load(w) && may_order() && now_ >= f.order_after && !cold(w)) order_load(f, w, c);
   }
   void pump(Function& f) {
     while (Request* r = head(f)) {
@@ -645,22 +650,21 @@
     if (!cold(w)) return true;
     const double age = w.lost ? 0 : std::max(0.0, (now_ - std::max(w.started, w.died)) / s_.cold_for);
     const double share = s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age);
-    // Danger: what one of many gets served by a warm worker is a part of what that can do, the smaller the idler
-    // the fleet; a fleet half replaced then queues at its old half. Many take their part of the worker's cores.
+    // Danger: what one of many gets served by a warm worker is only a part of what that can do; a fleet half
+    // replaced then queues at its old half. Many take their part of the worker's cores.
     const double work = cold_work(r);
-    const double pace = kColdSafety * s_.cold_multiple * share * (shared() ? w.weight / s_.routers : fleet_rate());
+    const double part = shared() ? w.weight / s_.routers : fleet_rate();
+    const double pace = kColdSafety * s_.cold_multiple * share * part;
     if (w.cold_filled == kNever) w.cold_tokens = work * chance();
     if (w.cold_filled > kNever) w.cold_tokens += pace * (now_ - w.cold_filled).count();
     w.cold_filled = now_;
     w.cold_tokens = std::min(w.cold_tokens, std::max(work, pace * s_.cold_window.count() / 5));
-    // Danger: where a miss uses up what was saved, the load goes to another worker, and a cold one stays empty.
-    // So a copy known to stand may be used ahead of what comes in next.
+    // Danger: where a miss has used up what was saved, a cold worker stays empty. A known copy is used ahead.
     const Copy* c = shared() ? find_copy(*r.function, index_of(w)) : nullptr;
     return w.cold_tokens >= (c != nullptr && c->proven ? 0 : work);
   }
   double cold_work(const Request& r) const {  // the rule weighs a call as the mean work of its class
-    const double base = classes_[slot(r.cls)].base;
-    return shared() && base > 0 ? base : work_of(r);
+    return shared() && classes_[slot(r.cls)].base > 0 ? classes_[slot(r.cls)].base : work_of(r);
   }
   double work_of(const Request& r) const {
     const double work = classes_[slot(r.cls)].run.value;
@@ -733,11 +737,15 @@
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
     r.aim_at = c != nullptr && c->aim.count() > 0 ? std::min(r.deadline, now_ + c->aim) : r.deadline;
-    // Danger: a client's later try looks new, though its aim has passed. It is given less time than a first
-    // try, for the client's patience ends with the class's deadline: that tells when it began.
-    Millis& first_try = classes_[slot(r.cls)].first_try;
-    first_try = std::max(first_try, e.expires_in);
-    if (c != nullptr && e.expires_in + 2 * s_.tick < first_try) {
+    // Danger: a client's later try looks new, though its aim has passed. It is given what is left of the
+    // class's deadline: less than a first try, or more.
+    ClassRecord& record = classes_[slot(r.cls)];
+    const bool later = std::abs((e.expires_in - record.first_try).count()) > (2 * s_.tick).count();
+    record.first_tries = std::min(record.first_tries + (later ? -1 : 1), kFirstTries);
+    if (record.first_tries < 0) {
+      record.first_try = e.expires_in;
+      record.first_tries = 1;
+    } else if (c != nullptr && later) {
       r.aim_at = std::min(r.aim_at, r.deadline - c->deadline + c->aim);
     }
     const Millis last = r.deadline - s_.tick - now_;
@@ -833,13 +841,14 @@
       case Outcome::error:
       case Outcome::timeout:
         // Danger: calls of functions that no worker knows fail wherever they go; that tells of no worker.
-        if (!r.attempts[static_cast<std::size_t>(e.attempt)].lost && f.run.known()) judge(w, r.cls, true);
+        if (r.attempts[static_cast<std::size_t>(e.attempt)].lost || !(f.run.known() || shared())) break;
+        judge(w, r.cls, true, e.outcome == Outcome::error && elapsed < base_of(f) / 2);
         break;
       default: break;
     }
   }
-  static void drift(double& base, double run, double most) {
-    base = base > 0 ? std::min(base * kBaseDrift, run) : std::min(run, most);
+  static void drift(double& base, double run, double most) {  // most: of the first
+    base = std::min(base > 0 ? base * kBaseDrift : most, run);
   }
   void end_load(Copy& c) {
     loads_out_ -= c.loading;
@@ -905,7 +914,7 @@
     random_.seed(s_.seed);
     classes_.resize(s_.classes.size() + 1);
     for (std::size_t i = 0; shared() && i < s_.classes.size(); ++i) {
-      // Danger: a router that has few answers takes the first, slow for a load or a queue, for the usual, holds
+      // Danger: a router with few answers takes the first, slow for a load or a queue, for the usual, holds
       // every aim for missed and refuses all that is not at once warm. An aim tells about what a run takes.
       ClassRecord& record = classes_[i + 1];
       record.base = s_.classes[i].aim.count() / kAimRuns;
@@ -985,9 +994,7 @@
       const Millis most(kPatience * std::max(load_of(f), kSilence.count()));
       if (c.loading > 0 && now_ - c.load_began > most) end_load(c);
     }
-    const auto empty = [&](const Copy& c) {
-      return c.standing + c.loading + c.busy == 0 && now_ - c.absent_at > kAbsentFor;
-    };
+    const auto empty = [&](const Copy& c) { return c.standing + c.loading + c.busy == 0 && !absent(c); };
     f.copies.erase(std::remove_if(f.copies.begin(), f.copies.end(), empty), f.copies.end());
   }
   // Danger: ids of workers never come back; kept for good, each deploy would leave some behind. What still
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -170,6 +170,44 @@
   EXPECT_EQ(r.refused, std::vector<std::string>{"later"});
 }
 
+// Failure found: clients gave a first try half the class's deadline and the last one all that was left. The most
+// that any was given passed for a first try's, so that every first try seemed late and was given up at once.
+TEST(GivingUp, AFirstTryIsKnownByWhatMostAreGiven) {
+  Router r;
+  r.list({});
+  for (int i = 0; i < 5; ++i) r.request(id("first", i), 1, "safe", 2100);
+  r.request("last", 1, "safe", 3500);  // 500 ms after its first try: 500 ms of its aim are left
+  r.request("again", 1, "safe", 2100);
+  r.pass(450);
+  EXPECT_TRUE(r.refused.empty());
+  r.pass(100);
+  EXPECT_EQ(r.refused, std::vector<std::string>{"last"});
+}
+
+// Failure found: five of 40 hosts failed five in six calls for ten seconds; each of 100 routers, which call a host
+// once in seconds, paid two failures there and came back a second later: 2,252 errors in all.
+TEST(Health, AnErrorAtOnceExcludesItsWorkerWithManyRouters) {
+  Settings s = crowd_settings();
+  s.tells_warm = false;
+  Router r(s);
+  r.list({entry("a"), entry("b"), entry("c")});
+  r.request("x", 1, "safe", 4000);
+  const std::string bad = r.sends.back().worker;
+  r.answer(r.sends.back(), Outcome::error, 2);
+  r.pass(20);
+  EXPECT_EQ(r.sends.back().id, "x");  // goes on elsewhere
+  EXPECT_NE(r.sends.back().worker, bad);
+  r.answer(r.sends.back(), Outcome::ok);
+  std::size_t back = 0;
+  for (int i = 0; i < 25; ++i) {
+    r.request(id("y", i), 1, "safe", 4000);
+    if (r.sends.back().worker == bad) ++back;
+    r.answer(r.sends.back(), Outcome::ok);
+    r.pass(100);
+  }
+  EXPECT_EQ(back, 0U);
+}
+
 // Failure found: on a day of 100 routers the first answers, slow for a load, passed for the usual run; every call
 // that met no copy then seemed past its aim and was refused at once, the whole day long.
 TEST(GivingUp, FirstAnswersThatWaitedForALoadTellNoUsualRun) {
