Durable answers of AMQP triggers: a store in SQLite, decided in src/answers, in lotusyard_full

Change: src/answers/ledger decides, without I/O and with the clock passed in, what may be done with a delivery by what a store tells: run, answer, fail, or refuse. src/answers/sqlite_store keeps the stages sent, cleared, answered and confirmed, each synced before what it precedes, within bounds of age, rows and bytes. The core asks a front before each attempt and tells it when one is shown not to have run (core::Front); a front that says no ends the call as refused. All basic properties are read; with timestamp and expiration, a call whose time ran out in the queue is not run.

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -13,6 +13,7 @@
 
 constexpr Millis kPauseFirst{100}, kPauseMost{5000};  // between attempts to reach the broker
 constexpr Millis kResendAfter{200};
+constexpr Millis kPrunePace{10000};
 constexpr std::size_t kAddressesKept = 8;
 constexpr std::uint64_t kLongestAllow = 3600 * 1000;
 
@@ -40,7 +41,7 @@
 }  // namespace
 
 Front::Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
-             const core::Settings& settings, Broker broker, Limits limits)
+             const core::Settings& settings, Broker broker, Limits limits, answers::Store* store)
     : loop_(loop),
       pool_(pool),
       dispatcher_(dispatcher),
@@ -49,11 +50,20 @@
       broker_(std::move(broker)),
       limits_(limits),
       memory_(limits.remembered, limits.remembered_bytes),
-      last_ref_(settings.seed) {}
+      store_(store),
+      last_ref_(settings.seed) {
+  if (store_ != nullptr) prune_later();
+}
 
 Front::~Front() {
   loop_.cancel(reconnect_);
   loop_.cancel(resend_);
+  loop_.cancel(prune_);
+}
+
+void Front::prune_later() {
+  store_->prune(loop_.now());
+  prune_ = loop_.at(loop_.now() + kPrunePace, [this] { prune_later(); });
 }
 
 void Front::connect() {
@@ -153,8 +163,14 @@
   }
   const auto* cls = class_named(settings_, call.class_name);
   const bool once = cls->semantics == robinfold::Semantics::once;
-  // Danger: another process, or this one before a restart or in a time now forgotten, may have run it.
-  if (once && delivery.redelivered) {
+  if (out_of_time(p, call)) {
+    refuse_call(id, once, Verdict::refused, "amqp.expired");
+    return answer_delivery(id, tag, address, delivery.redelivered);
+  }
+  if (once && store_ != nullptr) {
+    if (settled_by_store(id, delivery, address)) return;
+  } else if (once && delivery.redelivered) {
+    // Danger: another process, or this one before a restart or in a time now forgotten, may have run it.
     refuse_call(id, once, Verdict::failed, "amqp.may_have_run");
     return answer_delivery(id, tag, address, delivery.redelivered);
   }
@@ -167,11 +183,72 @@
   call.body = std::move(delivery.body);
   memory_.begin(id, once).waiters.push_back({tag, address});
   const core::CallId number = dispatcher_.next_id();
-  running_[number] = id;
+  running_[number] = {id, once, false};
   if (dispatcher_.take(number, std::move(call), *this)) return;
   answer(number, core::Answer());
 }
 
+// Danger: a call whose time ran out while it stood in the queue would run for nobody.
+bool Front::out_of_time(const Properties& p, core::Call& call) const {
+  const auto expiration = net::parse_whole(p.expiration, UINT32_MAX);
+  if (!p.timestamp || *p.timestamp > UINT32_MAX || p.expiration.empty() || !expiration) return false;
+  // A timestamp is cut to whole seconds: the doubt is the caller's.
+  const Millis until(static_cast<double>(*p.timestamp + 1) * 1000 + static_cast<double>(*expiration));
+  call.allow = std::min(call.allow, until - call.arrived);
+  return call.allow.count() <= 0;
+}
+
+// True if what the store tells ends this delivery, answered.
+bool Front::settled_by_store(const std::string& id, const Delivery& delivery, const Address& address) {
+  std::optional<answers::Record> known;
+  answers::Trust trust;
+  trust.healthy = store_->find(id, known);
+  trust.sole_consumer = limits_.sole_consumer;
+  trust.complete_from = store_->complete_from();
+  answers::Arrival arrival{delivery.redelivered, std::nullopt};
+  const auto& timestamp = delivery.properties.timestamp;
+  if (timestamp) arrival.published = Millis(static_cast<double>(*timestamp) * 1000);
+  switch (answers::decide(known, arrival, trust)) {
+    case answers::Decision::run: return false;
+    case answers::Decision::fail_may_have_run:
+      refuse_call(id, true, Verdict::failed, "amqp.may_have_run");
+      break;
+    case answers::Decision::refuse_unrecorded:
+      refuse_call(id, true, Verdict::refused, "amqp.unrecorded");
+      break;
+    case answers::Decision::answer:
+      counters_.add("amqp.answered_from_store");
+      Remembered& remembered = memory_.begin(id, true);
+      if (known->stage == answers::Stage::confirmed && known->address == address.text())
+        remembered.confirmed.push_back(address);
+      memory_.end(id, std::move(known->answer));
+  }
+  answer_delivery(id, delivery.tag, address, delivery.redelivered);
+  return true;
+}
+
+bool Front::record(const std::string& id, answers::Stage stage, const core::Answer& answer) {
+  answers::Record entry;
+  entry.stage = stage;
+  entry.answer = answer;
+  entry.at = loop_.now();
+  return store_->put(id, entry);
+}
+
+bool Front::before_attempt(core::CallId call) {
+  const auto found = running_.find(call);
+  if (store_ == nullptr || found == running_.end() || !found->second.once) return true;
+  if (!record(found->second.id, answers::Stage::sent, core::Answer())) return false;
+  return found->second.recorded = true;
+}
+
+void Front::never_ran(core::CallId call) {
+  const auto found = running_.find(call);
+  if (store_ == nullptr || found == running_.end() || !found->second.recorded) return;
+  // If this is not taken the call counts as one that may have run: the safe side.
+  record(found->second.id, answers::Stage::cleared, core::Answer());
+}
+
 void Front::refuse_call(const std::string& id, bool once, Verdict verdict, const char* why) {
   counters_.add(why);
   memory_.begin(id, once);
@@ -181,8 +258,11 @@
 void Front::answer(core::CallId call, core::Answer&& answer) {
   const auto found = running_.find(call);
   if (found == running_.end()) return;
-  const std::string id = found->second;
+  const Running running = found->second;
+  const std::string& id = running.id;
   running_.erase(found);
+  // First: once the broker has it the answer must stand here too.
+  if (running.recorded) record(id, answers::Stage::answered, answer);
   Remembered* known = memory_.find(id);
   if (known == nullptr) return;
   const auto waiters = std::move(known->waiters);
@@ -249,6 +329,14 @@
     if (Remembered* known = memory_.find(publishing.id)) {
       if (known->confirmed.size() >= kAddressesKept) known->confirmed.erase(known->confirmed.begin());
       known->confirmed.push_back(publishing.address);
+      std::optional<answers::Record> entry;
+      if (store_ != nullptr && known->once && store_->find(publishing.id, entry) && entry &&
+          entry->stage >= answers::Stage::answered) {
+        entry->stage = answers::Stage::confirmed;
+        entry->at = loop_.now();
+        entry->address = publishing.address.text();
+        store_->put(publishing.id, *entry);
+      }
     }
     for (const auto tag : publishing.tags) channel_->ack(tag);
   }
--- a/src/amqp/front.h
+++ b/src/amqp/front.h
@@ -9,6 +9,7 @@
 
 #include "amqp/channel.h"
 #include "amqp/memory.h"
+#include "answers/store.h"
 #include "core/counters.h"
 #include "core/dispatcher.h"
 #include "net/loop.h"
@@ -19,9 +20,10 @@
  public:
   struct Limits {
     std::size_t open_calls = 256, remembered = 10000, remembered_bytes = 16U << 20;
+    bool sole_consumer = false;  // nobody else consumes these queues
   };
   Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
-        const core::Settings& settings, Broker broker, Limits limits);
+        const core::Settings& settings, Broker broker, Limits limits, answers::Store* store = nullptr);
   ~Front() override;
 
   void start() { connect(); }
@@ -30,8 +32,14 @@
   void close();
 
   void answer(core::CallId call, core::Answer&& answer) override;
+  bool before_attempt(core::CallId call) override;
+  void never_ran(core::CallId call) override;
 
  private:
+  struct Running {
+    std::string id;
+    bool once = false, recorded = false;  // recorded: the store knows of an attempt
+  };
   struct Publishing {
     std::string id;  // of the call, in the memory
     Address address;
@@ -47,10 +55,11 @@
   Limits limits_;
   Memory memory_;
   std::shared_ptr<Channel> channel_;
-  std::unordered_map<core::CallId, std::string> running_;
+  answers::Store* store_;  // of calls that must not run twice; none: this process's memory is all there is
+  std::unordered_map<core::CallId, Running> running_;
   std::map<std::uint64_t, Publishing> unconfirmed_;
   std::deque<Publishing> unsent_;  // refused by the broker, or it has asked for a pause
-  net::Loop::TimerId reconnect_{}, resend_{};
+  net::Loop::TimerId reconnect_{}, resend_{}, prune_{};
   core::Millis pause_{0};
   std::uint64_t last_ref_ = 0;
   bool draining_ = false;
@@ -61,6 +70,10 @@
   void delivered(Delivery&& delivery) override;
   void confirmed(std::uint64_t number, bool multiple, bool taken) override;
   bool read_call(const Delivery& delivery, core::Call& out) const;
+  bool settled_by_store(const std::string& id, const Delivery& delivery, const Address& address);
+  bool out_of_time(const Properties& properties, core::Call& call) const;
+  void prune_later();
+  bool record(const std::string& id, answers::Stage stage, const core::Answer& answer);
   void refuse_call(const std::string& id, bool once, core::Verdict verdict, const char* why);
   void answer_delivery(const std::string& id, std::uint64_t tag, const Address& address, bool redelivered);
   void publish(Publishing&& publishing);
--- a/src/amqp/memory.h
+++ b/src/amqp/memory.h
@@ -14,6 +14,7 @@
 
 struct Address {  // where an answer goes, and what it answers there
   std::string reply_to, correlation_id;
+  std::string text() const { return reply_to + '\n' + correlation_id; }
   bool operator==(const Address& o) const {
     return reply_to == o.reply_to && correlation_id == o.correlation_id;
   }
--- a/src/amqp/wire.cpp
+++ b/src/amqp/wire.cpp
@@ -21,6 +21,11 @@
   reply_to_bit = 1 << 9,
   expiration_bit = 1 << 8,
   message_id_bit = 1 << 7,
+  timestamp_bit = 1 << 6,
+  type_bit = 1 << 5,
+  user_id_bit = 1 << 4,
+  app_id_bit = 1 << 3,
+  cluster_id_bit = 1 << 2,
   continued_bit = 1
 };
 
@@ -188,6 +193,7 @@
     values.short_text(value);
   };
   text(content_type_bit, p.content_type);
+  text(content_encoding_bit, p.content_encoding);
   if (!p.headers.empty()) {
     flags |= headers_bit;
     values.table(p.headers);
@@ -196,10 +202,21 @@
     flags |= delivery_mode_bit;
     values.u8(p.delivery_mode);
   }
+  if (p.priority != 0) {
+    flags |= priority_bit;
+    values.u8(p.priority);
+  }
   text(correlation_id_bit, p.correlation_id);
   text(reply_to_bit, p.reply_to);
   text(expiration_bit, p.expiration);
   text(message_id_bit, p.message_id);
+  if (p.timestamp) {
+    flags |= timestamp_bit;
+    values.u64(*p.timestamp);
+  }
+  text(type_bit, p.type);
+  text(user_id_bit, p.user_id);
+  text(app_id_bit, p.app_id);
   Writer out;
   out.u16(kBasic).u16(0).u64(body_size).u16(flags);
   return out.bytes() + values.bytes();
@@ -213,15 +230,19 @@
   const std::uint16_t flags = in.u16();
   Properties p;
   if (flags & content_type_bit) p.content_type = in.short_text();
-  if (flags & content_encoding_bit) in.short_text();
+  if (flags & content_encoding_bit) p.content_encoding = in.short_text();
   if (flags & headers_bit) p.headers = in.table();
   if (flags & delivery_mode_bit) p.delivery_mode = in.u8();
-  if (flags & priority_bit) in.u8();
+  if (flags & priority_bit) p.priority = in.u8();
   if (flags & correlation_id_bit) p.correlation_id = in.short_text();
   if (flags & reply_to_bit) p.reply_to = in.short_text();
   if (flags & expiration_bit) p.expiration = in.short_text();
   if (flags & message_id_bit) p.message_id = in.short_text();
-  // What follows (timestamp, type, user, application) is of no use here.
+  if (flags & timestamp_bit) p.timestamp = in.u64();
+  if (flags & type_bit) p.type = in.short_text();
+  if (flags & user_id_bit) p.user_id = in.short_text();
+  if (flags & app_id_bit) p.app_id = in.short_text();
+  if (flags & cluster_id_bit) in.short_text();  // deprecated by the specification
   if (!basic || !in.ok() || (flags & continued_bit) != 0) return std::nullopt;
   return std::make_pair(size, std::move(p));
 }
--- a/src/amqp/wire.h
+++ b/src/amqp/wire.h
@@ -79,8 +79,10 @@
 };
 
 struct Properties {
-  std::string content_type, correlation_id, reply_to, expiration, message_id;
-  std::uint8_t delivery_mode = 0;
+  std::string content_type, content_encoding, correlation_id, reply_to, expiration, message_id;
+  std::string type, user_id, app_id;
+  std::uint8_t delivery_mode = 0, priority = 0;
+  std::optional<std::uint64_t> timestamp;  // seconds
   Table headers;
 };
 
--- /dev/null
+++ b/src/answers/ledger.cpp
@@ -0,0 +1,54 @@
+#include "answers/ledger.h"
+
+#include <algorithm>
+
+namespace lotusyard::answers {
+
+bool proves_not_run(const Record& record) {
+  if (record.stage == Stage::cleared) return true;
+  return record.stage != Stage::sent && record.answer.verdict == core::Verdict::refused;
+}
+
+Decision decide(const std::optional<Record>& known, const Arrival& arrival, const Trust& trust) {
+  // Danger: a store that cannot be read may hold that it ran. Sent anew, the same id may be a tablet's
+  // repeat.
+  if (!trust.healthy) return arrival.redelivered ? Decision::fail_may_have_run : Decision::refuse_unrecorded;
+  if (known) {
+    if (known->stage == Stage::sent) return Decision::fail_may_have_run;
+    if (known->stage == Stage::cleared) return Decision::run;
+    // A redelivery gets the answer that stands; a message sent anew after a refusal is a further try.
+    return proves_not_run(*known) && !arrival.redelivered ? Decision::run : Decision::answer;
+  }
+  if (!arrival.redelivered) return Decision::run;
+  // Danger: not in the store may mean not yet, no more, or at another consumer. Only a call younger than
+  // everything the store has forgotten, at the only consumer there is, is known not to have gone out.
+  const bool covered = arrival.published && *arrival.published - kClockSkew >= trust.complete_from;
+  return trust.sole_consumer && covered ? Decision::run : Decision::fail_may_have_run;
+}
+
+bool may_follow(const std::optional<Stage>& from, Stage to) {
+  switch (to) {
+    case Stage::sent:
+      return !from || *from == Stage::cleared || *from == Stage::answered ||
+             *from == Stage::confirmed;  // the last two: a further try after a refusal
+    case Stage::cleared: return from && *from == Stage::sent;
+    case Stage::answered: return true;  // a refusal may come before anything was sent
+    case Stage::confirmed: return from && (*from == Stage::answered || *from == Stage::confirmed);
+  }
+  return false;
+}
+
+Pruning prune(const Size& size, std::size_t answered, const Bounds& bounds, Millis now) {
+  Pruning out;
+  out.older_than = now - bounds.longest;
+  const std::size_t each = size.records == 0 ? 0 : size.bytes / size.records;
+  const std::size_t over_count = size.records > bounds.most ? size.records - bounds.most : 0;
+  const std::size_t over_bytes =
+      size.bytes > bounds.most_bytes && each > 0 ? (size.bytes - bounds.most_bytes) / each + 1 : 0;
+  const std::size_t wanted = std::max(over_count, over_bytes);
+  out.excess = std::min(wanted, answered);
+  out.full = wanted > answered;
+  return out;
+}
+
+}  // namespace lotusyard::answers
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -76,6 +76,13 @@
   out.open_calls = whole_within(from, "open_calls", "amqp.open_calls", out.open_calls, 1, 10000);
   out.remembered = whole_within(from, "remembered", "amqp.remembered", out.remembered, 1, 1e6);
   out.remembered_mb = whole_within(from, "remembered_mb", "amqp.remembered_mb", out.remembered_mb, 1, 1e4);
+  out.store = needed_text(from, "store", "amqp.store", "");
+  out.store_days = whole_within(from, "store_days", "amqp.store_days", out.store_days, 1, 3650);
+  out.store_mb = whole_within(from, "store_mb", "amqp.store_mb", out.store_mb, 1, 1e5);
+  out.store_records = whole_within(from, "store_records", "amqp.store_records", out.store_records, 1, 1e8);
+  const json& sole = key(from, "sole_consumer");
+  if (!sole.is_null() && !sole.is_boolean()) fault("amqp.sole_consumer", "true or false is needed");
+  out.sole_consumer = flag(sole);
   return out;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -23,6 +23,9 @@
   std::vector<std::string> queues;
   std::uint16_t prefetch = 32, heartbeat_s = 10;
   std::size_t body_kb = 16, open_calls = 256, remembered = 10000, remembered_mb = 16;
+  std::string store;  // path of the durable answers; empty: none
+  std::size_t store_days = 7, store_mb = 64, store_records = 100000;
+  bool sole_consumer = false;
 };
 
 // Envoy's list of hosts, in place of the change log.
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -104,6 +104,7 @@
   const Out out = std::move(*open.out);
   open.out.reset();
   if (!robinfold::proves_never_ran(outcome)) open.may_have_run = true;
+  if (!over && !open.may_have_run) open.front->never_ran(id);
   const Millis now = clock_();
   AttemptOutcome told{{id, out.attempt.number}, out.host, outcome, over, 0, now - out.sent, std::nullopt};
   run(module_.report(now, told));
@@ -115,6 +116,7 @@
   const Out out = std::move(*open->out);
   open->out.reset();
   if (!robinfold::proves_never_ran(end.outcome)) open->may_have_run = true;
+  if (!open->may_have_run) open->front->never_ran(attempt.call);
   const Millis now = clock_();
   const bool served = end.outcome == Outcome::ok;
   AttemptOutcome told{attempt,   out.host,       end.outcome,          served,
@@ -183,6 +185,13 @@
     run(module_.report(now, AttemptOutcome{attempt, step.host, Outcome::moot, !other_out, 0, {}, {}}));
     return;
   }
+  if (!open->front->before_attempt(step.call)) {
+    counters_.add("attempts.withheld");
+    const bool harmless = !open->may_have_run;
+    finish(step.call, {harmless ? Verdict::refused : Verdict::failed, Millis(0), {}});
+    run(module_.report(now, AttemptOutcome{attempt, step.host, Outcome::moot, true, 0, {}, {}}));
+    return;
+  }
   counters_.add("attempts.sent");
   open->out = Out{attempt, step.host, now};
   due_.push({now + patience, step.call, attempt.number});
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -63,6 +63,10 @@
  public:
   virtual ~Front() = default;
   virtual void answer(CallId call, Answer&& answer) = 0;
+  // Before an attempt goes out. False: it must not; the call then ends as one that this attempt did not run.
+  virtual bool before_attempt(CallId) { return true; }
+  // The last attempt is shown not to have run, and none before it may have.
+  virtual void never_ran(CallId) {}
 };
 
 // Where attempts go. Ends are told to the Dispatcher, never from inside these calls.
--- /dev/null
+++ b/src/full/main.cpp
@@ -0,0 +1,83 @@
+// The program for other installations: durable answers, and sub-commands. With none it starts as lotusyard
+// does.
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "answers/sqlite_store.h"
+#include "app/app.h"
+
+namespace lotusyard {
+namespace {
+
+answers::Bounds bounds_of(const config::AmqpConfig& from) {
+  answers::Bounds bounds;
+  bounds.longest = core::Millis(static_cast<double>(from.store_days) * 24 * 3600e3);
+  bounds.most = from.store_records;
+  bounds.most_bytes = from.store_mb << 20;
+  return bounds;
+}
+
+std::unique_ptr<answers::SqliteStore> open_store(const config::AmqpConfig& from, core::Millis now,
+                                                 core::Counters& counters) {
+  const auto log = [](const std::string& line) { std::cerr << "lotusyard: " << line << std::endl; };
+  return std::make_unique<answers::SqliteStore>(from.store, bounds_of(from), now, counters, log);
+}
+
+config::Config read(const std::string& file) {
+  return config::read_config(config::read_json_file(file), environment("BALANCER_NAME"),
+                             environment("BALANCER_LISTEN"));
+}
+
+int check(const std::string& file) {
+  const auto config = read(file);
+  std::cout << file << ": good; " << (config.amqp ? "triggers from " + config.amqp->broker : "no triggers")
+            << ", "
+            << (config.amqp && !config.amqp->store.empty() ? "answers in " + config.amqp->store
+                                                           : std::string("no durable answers"))
+            << std::endl;
+  return 0;
+}
+
+int list_answers(const std::string& file) {
+  const auto config = read(file);
+  if (!config.amqp || config.amqp->store.empty())
+    throw config::ConfigError("configuration: amqp.store: not set");
+  core::Counters counters;
+  const auto store = open_store(*config.amqp, core::Millis(0), counters);
+  static const char* const stages[] = {"", "may_have_run", "not_run", "answered", "confirmed"};
+  static const char* const words[] = {"OK", "BUSY", "FAILED"};
+  store->each([&](const std::string& id, const answers::Record& record) {
+    const bool answered = record.stage >= answers::Stage::answered;
+    std::cout << static_cast<std::int64_t>(record.at.count()) << ' ' << stages[static_cast<int>(record.stage)]
+              << ' ' << (answered ? words[static_cast<std::size_t>(record.answer.verdict)] : "-") << ' '
+              << record.answer.body.size() << ' ' << id << '\n';
+  });
+  std::cout << store->size() << " calls" << std::endl;
+  return store->healthy() ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace lotusyard
+
+int main(int count, char** words) {
+  using namespace lotusyard;
+  CLI::App app{"An invoker with AMQP triggers and durable answers"};
+  std::string file;
+  app.add_option("file", file, "the configuration; without it the one that BALANCER_CONFIG names");
+  std::string checked, listed;
+  auto* check_command = app.add_subcommand("check", "reads a configuration and says what is wrong with it");
+  check_command->add_option("file", checked)->required();
+  auto* answers_command =
+      app.add_subcommand("answers", "lists the durable answers, while the invoker is stopped");
+  answers_command->add_option("file", listed)->required();
+  app.require_subcommand(0, 1);
+  CLI11_PARSE(app, count, words);
+  try {
+    if (check_command->parsed()) return check(checked);
+    if (answers_command->parsed()) return list_answers(listed);
+    return run(file.empty() ? environment("BALANCER_CONFIG") : file, open_store);
+  } catch (const std::exception& fault) {
+    std::cerr << "lotusyard: " << fault.what() << std::endl;
+    return 1;
+  }
+}
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -17,9 +17,10 @@
 using net::field;
 
 constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
-constexpr Millis kQuietLeast{200};  // a link with something out that is silent for longer is asked for a sign,
-constexpr Millis kQuietMost{400};   // or, where answers take long as a rule, for longer than this
-constexpr double kQuietRuns = 2;    // so many usual answers lie between these two
+constexpr Millis kQuietLeast{
+    200};                          // a link with something out that is silent for longer is asked for a sign,
+constexpr Millis kQuietMost{400};  // or, where answers take long as a rule, for longer than this
+constexpr double kQuietRuns = 2;   // so many usual answers lie between these two
 constexpr double kUsualGain = 0.05;
 constexpr double kSignShare = 0.05;  // signs asked for each attempt, over all links
 constexpr double kSignsMost = 5;     // and what may be saved up of them
@@ -360,8 +361,8 @@
   return std::min(std::max(usual_answer_ * kQuietRuns, kQuietLeast), kQuietMost);
 }
 void Fleet::note_answer(Millis took) { usual_answer_ += kUsualGain * (took - usual_answer_); }
-// Danger: each sign is cheap, but calls that wait for a load are silent as well. Asked for whatever is late, a
-// hundred invokers' signs are more than their calls.
+// Danger: each sign is cheap, but calls that wait for a load are silent as well. Asked for whatever is late,
+// a hundred invokers' signs are more than their calls.
 bool Fleet::take_sign() {
   if (signs_left_ < 1) return false;
   signs_left_ -= 1;
@@ -370,11 +371,7 @@
 }
 
 Fleet::Fleet(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, Limits limits)
-    : loop_(loop),
-      pool_(pool),
-      counters_(counters),
-      limits_(std::move(limits)),
-      signs_left_(kSignsMost) {}
+    : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)), signs_left_(kSignsMost) {}
 Fleet::~Fleet() = default;
 
 void Fleet::members(const core::MemberList& list) {
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -20,7 +20,7 @@
 struct Limits {
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
-  std::size_t longest_answer = 1U << 20;  // the body of one; a link holds at most one that is not whole yet
+  std::size_t longest_answer = 1U << 20;   // the body of one; a link holds at most one that is not whole yet
   std::vector<std::string> report_fields;  // in the order in which the module wants them
 };
 
@@ -54,8 +54,8 @@
   std::map<core::Attempt, Link*> attempts_;
   std::size_t links_ = 0;
   std::uint64_t last_tag_ = 0;
-  Millis usual_answer_{0};   // moving average over all hosts
-  double signs_left_ = 0;  // a token bucket, filled by what is sent
+  Millis usual_answer_{0};  // moving average over all hosts
+  double signs_left_ = 0;   // a token bucket, filled by what is sent
 
   Host* ready_host(const std::string& id);
   Link* link_for(Host& host, const std::string& ref);
--- a/tests/lotusyard/parsers_test.cpp
+++ b/tests/lotusyard/parsers_test.cpp
@@ -85,6 +85,12 @@
     p.message_id = random_bytes(random, 255);
     p.reply_to = "answers";
     p.delivery_mode = 2;
+    p.priority = static_cast<std::uint8_t>(1 + below(random, 9));
+    p.timestamp = random();
+    p.content_encoding = random_bytes(random, 9);
+    p.type = random_bytes(random, 9);
+    p.user_id = random_bytes(random, 9);
+    p.app_id = random_bytes(random, 255);
     p.headers = {{"text", random_bytes(random, 200)},
                  {"whole", std::int64_t(random())},
                  {"flag", true},
@@ -99,6 +105,10 @@
     const auto read = amqp::read_content_header(frames[0].payload);
     REQUIRE(read);
     CHECK(read->second.message_id == p.message_id);
+    CHECK((read->second.priority == p.priority && read->second.timestamp == p.timestamp));
+    CHECK((read->second.type == p.type && read->second.user_id == p.user_id &&
+           read->second.app_id == p.app_id));
+    CHECK(read->second.content_encoding == p.content_encoding);
     CHECK(read->second.headers == p.headers);
   }
 }
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -338,8 +338,8 @@
   CHECK(p.world.turn_until([&] { return p.world.counters.value("hosts.links_ended") == 1; }, 20000));
 }
 
-// Failure found: calls that waited for a load were silent, and each invoker asked for a sign every 0.2 s: on a
-// day of 100 invokers more signs than calls.
+// Failure found: calls that waited for a load were silent, and each invoker asked for a sign every 0.2 s: on
+// a day of 100 invokers more signs than calls.
 TEST_CASE("silent links are asked for few signs, however many calls wait on them") {
   World world(12);
   for (auto& host : world.host) host->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
--- a/tests/lotusyard/triggers.h
+++ b/tests/lotusyard/triggers.h
@@ -10,14 +10,14 @@
 class Triggers {
  public:
   explicit Triggers(std::size_t hosts, std::uint64_t seed = 1, amqp::Front::Limits limits = {},
-                    const core::Settings& s = settings())
+                    const core::Settings& s = settings(), answers::Store* store = nullptr)
       : world(hosts, s), broker(world.loop, world.pool, seed) {
     amqp::Broker at;
     at.address = broker.server.address();
     at.queues = {"calls"};
     at.prefetch = 16;
     front = std::make_unique<amqp::Front>(world.loop, world.pool, world.dispatcher, world.counters, s, at,
-                                          limits);
+                                          limits, store);
     front->start();
   }
   bool answered(const std::string& id, std::size_t times = 1) {
