AMQP: brokers in turn with jittered pauses by reply code; blocked connections are honoured

A broker that took us and ended the connection at once was reached ten times a second; invokers that lost one broker came back in step.

Change: src/amqp/recovery decides, without I/O, which broker is next and when: the list in turn, a pause that doubles with each whole round and is drawn at 0.5 to 1.5 times, reset after 10 s of service only, and longer where the specification's reply code says that it will not pass by itself; then the operator is told on standard error. The client properties now say connection.blocked and authentication_failure_close; while blocked nothing is published. The channel keeps the broker's code for whoever decides (src/amqp/channel.cpp, closed_by()).

--- a/src/amqp/channel.cpp
+++ b/src/amqp/channel.cpp
@@ -38,7 +38,18 @@
 
 void Channel::ended() {
   for (const auto& timer : {beat_, quiet_, setup_}) loop().cancel(timer);
-  consumer_.channel_down();
+  ending_.came_up = up_since_.count() > 0;
+  ending_.up_for = ending_.came_up ? loop().now() - up_since_ : Millis(0);
+  ending_.at_login = state_ == State::tune;
+  consumer_.channel_down(ending_);
+}
+
+// The broker's word for it, kept for whoever decides when to come back.
+bool Channel::closed_by(Reader& in, const char* why) {
+  ending_.code = in.u16();
+  counters_.add(std::string("amqp.closed.") + name_of(ending_.code));
+  flush_now();
+  return lost(why);
 }
 
 void Channel::say(std::uint32_t id, std::uint16_t channel, const Writer& arguments) {
@@ -84,9 +95,18 @@
       const std::string mechanisms = in.long_text();
       if (mechanisms.find("PLAIN") == std::string::npos) return lost("amqp.no_plain_login");
       using namespace std::string_literals;
+      // A table within a table: without these words a broker says neither `blocked` nor why a login is
+      // refused.
+      Writer properties;
+      properties.short_text("product").u8('S').long_text("lotusyard");
+      properties.short_text("capabilities")
+          .u8('F')
+          .table({{"connection.blocked", true},
+                  {"authentication_failure_close", true},
+                  {"publisher_confirms", true}});
       say(method::connection_start_ok, 0,
           Writer()
-              .table({{"product", "lotusyard"s}})
+              .long_text(properties.bytes())
               .short_text("PLAIN")
               .long_text("\0"s + broker_.user + "\0"s + broker_.password)
               .short_text("en_US"));
@@ -129,6 +149,7 @@
     case method::basic_consume_ok:
       if (state_ == State::consume && ++consumers_ == broker_.queues.size()) {
         state_ = State::up;
+        up_since_ = loop().now();
         loop().cancel(setup_);
         consumer_.channel_up();
       }
@@ -162,14 +183,19 @@
       if (flowing_ && state_ == State::up) consumer_.channel_up();
       return true;
     }
+    case method::connection_blocked:
+      counters_.add("amqp.blocked");
+      blocked_ = true;
+      return true;
+    case method::connection_unblocked:
+      if (std::exchange(blocked_, false) && state_ == State::up) consumer_.channel_up();
+      return true;
     case method::channel_close:
       say(method::channel_close_ok, kChannel, Writer());
-      flush_now();
-      return lost("amqp.channel_closed");
+      return closed_by(in, "amqp.channel_closed");
     case method::connection_close:
       say(method::connection_close_ok, 0, Writer());
-      flush_now();
-      return lost("amqp.connection_closed");
+      return closed_by(in, "amqp.connection_closed");
     case method::connection_close_ok: end_later(); return false;
     default: return lost("amqp.unknown_method");
   }
--- a/src/amqp/channel.h
+++ b/src/amqp/channel.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "amqp/recovery.h"
 #include "amqp/wire.h"
 #include "core/counters.h"
 #include "net/stream.h"
@@ -12,7 +13,8 @@
 namespace lotusyard::amqp {
 
 struct Broker {
-  std::string address, user = "guest", password = "guest", vhost = "/";
+  std::vector<std::string> addresses;  // tried in turn
+  std::string user = "guest", password = "guest", vhost = "/";
   std::vector<std::string> queues;
   std::uint16_t prefetch = 32, heartbeat_s = 10;
   std::size_t longest_body = 16 * 1024;
@@ -32,7 +34,7 @@
   virtual void channel_up() = 0;
   virtual void delivered(Delivery&& delivery) = 0;
   virtual void confirmed(std::uint64_t number, bool multiple, bool taken) = 0;  // of publishings
-  virtual void channel_down() = 0;                                              // once
+  virtual void channel_down(const Ending& ending) = 0;                          // once
 };
 
 class Channel final : public net::Stream {
@@ -42,7 +44,7 @@
   ~Channel() override;
 
   bool up() const { return state_ == State::up && !ending(); }
-  bool may_publish() const { return up() && flowing_; }
+  bool may_publish() const { return up() && flowing_ && !blocked_; }
   std::uint64_t publish(const std::string& queue, const Properties& properties, std::string_view body);
   void ack(std::uint64_t tag);
   void reject(std::uint64_t tag);  // not to be delivered again
@@ -59,7 +61,9 @@
   std::size_t frame_most_ = 4096;
   std::size_t consumers_ = 0;
   std::uint64_t published_ = 0;
-  bool flowing_ = true;
+  bool flowing_ = true, blocked_ = false;
+  Ending ending_;
+  net::Millis up_since_{0};
   // The content that is coming in.
   enum class Content { none, delivery, returned } content_ = Content::none;
   bool header_seen_ = false;
@@ -80,6 +84,7 @@
   void beat();
   void watch_quiet();
   bool lost(const char* why);
+  bool closed_by(Reader& in, const char* why);
 };
 
 }  // namespace lotusyard::amqp
--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iostream>
 
 #include "net/fields.h"
 
@@ -11,7 +12,6 @@
 using core::Millis;
 using core::Verdict;
 
-constexpr Millis kPauseFirst{100}, kPauseMost{5000};  // between attempts to reach the broker
 constexpr Millis kResendAfter{200};
 constexpr Millis kPrunePace{10000};
 constexpr std::size_t kAddressesKept = 8;
@@ -51,6 +51,7 @@
       limits_(limits),
       memory_(limits.remembered, limits.remembered_bytes),
       store_(store),
+      recovery_(broker_.addresses, settings.seed),
       last_ref_(settings.seed) {
   if (store_ != nullptr) prune_later();
 }
@@ -67,21 +68,20 @@
 }
 
 void Front::connect() {
-  net::Socket socket = net::connect_to(broker_.address);
-  if (!socket) return channel_down();
+  net::Socket socket = net::connect_to(recovery_.address());
+  if (!socket) return channel_down(Ending());
   Consumer& consumer = *this;
   channel_ = std::make_shared<Channel>(loop_, pool_, counters_, broker_, consumer, std::move(socket));
 }
 
 void Front::channel_up() {
   counters_.add("amqp.up");
-  pause_ = Millis(0);
   resend();
 }
 
 // Deliveries that are not acknowledged come again, here or elsewhere; the tags of this channel mean nothing
 // now.
-void Front::channel_down() {
+void Front::channel_down(const Ending& ending) {
   counters_.add("amqp.down");
   unconfirmed_.clear();
   unsent_.clear();
@@ -90,8 +90,12 @@
   channel_.reset();
   loop_.cancel(reconnect_);
   if (draining_) return;
-  pause_ = std::min(std::max(pause_ * 2, kPauseFirst), kPauseMost);
-  reconnect_ = loop_.at(loop_.now() + pause_, [this] { connect(); });
+  const Plan plan = recovery_.after(ending);
+  if (!plan.say.empty()) {
+    counters_.add("amqp.refused");
+    std::cerr << "lotusyard: amqp: " << plan.say << std::endl;
+  }
+  reconnect_ = loop_.at(loop_.now() + plan.wait, [this] { connect(); });
 }
 
 void Front::drain() {
--- a/src/amqp/front.h
+++ b/src/amqp/front.h
@@ -60,13 +60,13 @@
   std::map<std::uint64_t, Publishing> unconfirmed_;
   std::deque<Publishing> unsent_;  // refused by the broker, or it has asked for a pause
   net::Loop::TimerId reconnect_{}, resend_{}, prune_{};
-  core::Millis pause_{0};
+  Recovery recovery_;
   std::uint64_t last_ref_ = 0;
   bool draining_ = false;
 
   void connect();
   void channel_up() override;
-  void channel_down() override;
+  void channel_down(const Ending& ending) override;
   void delivered(Delivery&& delivery) override;
   void confirmed(std::uint64_t number, bool multiple, bool taken) override;
   bool read_call(const Delivery& delivery, core::Call& out) const;
--- a/src/amqp/methods.h
+++ b/src/amqp/methods.h
@@ -11,6 +11,7 @@
 constexpr std::uint32_t connection_tune = id(10, 30), connection_tune_ok = id(10, 31);
 constexpr std::uint32_t connection_open = id(10, 40), connection_open_ok = id(10, 41);
 constexpr std::uint32_t connection_close = id(10, 50), connection_close_ok = id(10, 51);
+constexpr std::uint32_t connection_blocked = id(10, 60), connection_unblocked = id(10, 61);
 constexpr std::uint32_t channel_open = id(20, 10), channel_open_ok = id(20, 11);
 constexpr std::uint32_t channel_flow = id(20, 20), channel_flow_ok = id(20, 21);
 constexpr std::uint32_t channel_close = id(20, 40), channel_close_ok = id(20, 41);
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -74,7 +74,7 @@
 
 amqp::Broker broker_of(const config::AmqpConfig& from) {
   amqp::Broker out;
-  out.address = from.broker;
+  out.addresses = from.brokers;
   out.user = from.user;
   out.password = from.password;
   out.vhost = from.vhost;
@@ -191,7 +191,8 @@
                                          config.amqp->remembered_mb << 20, config.amqp->sole_consumer},
                      store.get());
     triggers->start();
-    std::cout << "lotusyard " << config.name << " takes triggers from " << config.amqp->broker << std::endl;
+    std::cout << "lotusyard " << config.name << " takes triggers from " << config.amqp->brokers.front()
+              << std::endl;
   }
 
   Millis told_to_end{0};
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -57,9 +57,19 @@
 AmqpConfig read_amqp(const json& from) {
   if (!from.is_object()) fault("amqp", "an object is needed");
   AmqpConfig out;
-  out.broker = needed_text(from, "broker", "amqp.broker", nullptr);
-  if (!net::valid_address(out.broker))
-    fault("amqp.broker", "no numeric address with a port: '" + out.broker + "'");
+  const json& brokers = key(from, "brokers");
+  if (!brokers.is_null() && !key(from, "broker").is_null()) fault("amqp.brokers", "not beside amqp.broker");
+  if (brokers.is_null()) {
+    out.brokers = {needed_text(from, "broker", "amqp.broker", nullptr)};
+  } else if (!brokers.is_array() || brokers.empty()) {
+    fault("amqp.brokers", "at least one address is needed");
+  } else {
+    for (const auto& one : brokers) out.brokers.push_back(text(one));
+  }
+  const char* const named = brokers.is_null() ? "amqp.broker" : "amqp.brokers";
+  for (const auto& one : out.brokers) {
+    if (!net::valid_address(one)) fault(named, "no numeric address with a port: '" + one + "'");
+  }
   out.user = needed_text(from, "user", "amqp.user", "guest");
   out.password = needed_text(from, "password", "amqp.password", "guest");
   out.vhost = needed_text(from, "vhost", "amqp.vhost", "/");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -19,7 +19,8 @@
 
 // AMQP triggers, off unless the file has a part `amqp`.
 struct AmqpConfig {
-  std::string broker, user = "guest", password = "guest", vhost = "/";
+  std::vector<std::string> brokers;  // tried in turn
+  std::string user = "guest", password = "guest", vhost = "/";
   std::vector<std::string> queues;
   std::uint16_t prefetch = 32, heartbeat_s = 10;
   std::size_t body_kb = 16, open_calls = 256, remembered = 10000, remembered_mb = 16;
--- a/src/full/main.cpp
+++ b/src/full/main.cpp
@@ -30,8 +30,8 @@
 
 int check(const std::string& file) {
   const auto config = read(file);
-  std::cout << file << ": good; " << (config.amqp ? "triggers from " + config.amqp->broker : "no triggers")
-            << ", "
+  std::cout << file << ": good; "
+            << (config.amqp ? "triggers from " + config.amqp->brokers.front() : "no triggers") << ", "
             << (config.amqp && !config.amqp->store.empty() ? "answers in " + config.amqp->store
                                                            : std::string("no durable answers"))
             << std::endl;
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -296,7 +296,13 @@
       switch (method::id(cls, in.u16())) {
         case method::connection_start_ok:
           return say(method::connection_tune, 0, Writer().u16(10).u32(4096).u16(broker_.heartbeat_s));
-        case method::connection_open: return say(method::connection_open_ok, 0, Writer().short_text(""));
+        case method::connection_open:
+          if (broker_.close_with != 0) {
+            ++broker_.closes;
+            return say(method::connection_close, 0,
+                       Writer().u16(broker_.close_with).short_text("as told").u16(0).u16(0));
+          }
+          return say(method::connection_open_ok, 0, Writer().short_text(""));
         case method::channel_open: return say(method::channel_open_ok, 1, Writer().long_text(""));
         case method::confirm_select: return say(method::confirm_select_ok, 1, Writer());
         case method::basic_qos:
@@ -354,6 +360,9 @@
   std::size_t acked = 0, rejected = 0, dropped = 0;
   std::uint16_t heartbeat_s = 0;  // this broker sends no heartbeats, whatever it agreed to
   int missing_queues = 0;
+  std::uint16_t close_with = 0;  // connections are closed with this code before they open
+  int closes = 0;
+  bool withhold = false;  // no confirm is sent
 
   bool chance(unsigned in_thousand) { return below(random, 1000) < in_thousand; }
   // Sends a call; its fields as an operator's tablet would give them.
@@ -374,6 +383,9 @@
     queue.push_back(std::move(m));
     for (const auto& peer : server.peers) deliver(*peer);
   }
+  void say_all(std::uint32_t id, const amqp::Writer& arguments) {
+    for (const auto& peer : server.peers) peer->say(id, 0, arguments);
+  }
   void drop_all() {
     dropped += server.peers.size();
     for (const auto& peer : server.peers) peer->end_later();
@@ -398,6 +410,7 @@
     answers.push_back(answer);
     held[answer.properties.correlation_id].push_back(answer);
     if (chance(chaos.drop / 2)) return drop(peer);  // it is held, but the confirm is lost
+    if (withhold) return;
     peer.say(amqp::method::basic_ack, 1, amqp::Writer().u64(number).u8(0));
     if (!chance(chaos.drop / 2)) return;
     peer.flush_now();  // the confirm arrives, our ack is lost
--- a/tests/lotusyard/triggers_test.cpp
+++ b/tests/lotusyard/triggers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <set>
 #include <sstream>
 
 namespace lotusyard::test {
@@ -161,6 +162,94 @@
   CHECK(t.world.host[0]->runs["x"] == 1);
 }
 
+TEST_CASE("each reply code is tried again as it deserves, within bounds and not in step") {
+  using amqp::Again;
+  CHECK(amqp::again_after(0) == Again::soon);
+  CHECK(amqp::again_after(320) == Again::soon);
+  CHECK(amqp::again_after(405) == Again::later);
+  CHECK(amqp::again_after(999) == Again::later);
+  for (const int code : {402, 403, 404, 406, 530, 540})
+    CHECK(amqp::again_after(static_cast<std::uint16_t>(code)) == Again::operator_);
+  const amqp::Recovery::Bounds bounds;
+  std::set<double> waits;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    amqp::Recovery recovery({"a:1", "b:1", "c:1"}, seed);
+    std::set<std::size_t> reached;
+    Millis before{0}, sum{0};
+    for (int i = 0; i < 30; ++i) {
+      const auto plan = recovery.after({});
+      reached.insert(plan.broker);
+      CHECK(plan.wait >= bounds.first / 2);
+      CHECK(plan.wait <= bounds.most);
+      CHECK(plan.say.empty());
+      if (i < 3) before += plan.wait;
+      if (i >= 27) sum += plan.wait;
+      waits.insert(plan.wait.count());
+    }
+    CHECK(reached.size() == 3);
+    CHECK(sum > before * 5);
+    // One that is up for a while and breaks is tried again first and soon; one that ends at once is not.
+    CHECK(recovery.after({0, true, bounds.settled, false}).wait <= bounds.first * 1.5);
+    const auto served = recovery.broker();
+    amqp::Recovery flapping({"a:1"}, seed);
+    Millis last{0};
+    for (int i = 0; i < 12; ++i) last = flapping.after({0, true, Millis(5), false}).wait;
+    CHECK(last >= bounds.most / 2);
+    CHECK(recovery.after({320, true, bounds.settled, false}).broker != served);
+    amqp::Recovery refused({"a:1"}, seed);
+    const auto plan = refused.after({0, false, Millis(0), true});
+    CHECK(plan.wait >= bounds.most / 2);
+    CHECK(plan.say.find("password") != std::string::npos);
+  }
+  CHECK(waits.size() > 100);
+}
+
+TEST_CASE("brokers are tried in turn, and one that closes for a reason is counted by its name") {
+  std::string nobody;
+  {
+    net::Socket closed = net::listen_on("127.0.0.1:0");
+    nobody = net::bound_address(closed);
+  }
+  Triggers t(1, 1, {}, settings(), nullptr, {nobody});
+  t.broker.close_with = 320;
+  REQUIRE(t.world.turn_until([&] { return t.broker.closes >= 2; }, 20000));
+  t.broker.close_with = 0;
+  t.broker.send("a", "bin-record", "x");
+  REQUIRE(t.answered("a"));
+  CHECK(word_of(t.broker.held["c-a"][0]) == "OK");
+  CHECK(t.world.counters.value("amqp.closed.connection_forced") >= 2);
+  CHECK(t.world.counters.value("amqp.down") >= 4);
+}
+
+TEST_CASE("a broker that blocks gets no answers until it unblocks, and then each once") {
+  Triggers t(1);
+  t.broker.send("first", "bin-check", "x");
+  REQUIRE(t.answered("first"));
+  t.broker.say_all(amqp::method::connection_blocked, amqp::Writer().short_text("low on memory"));
+  REQUIRE(t.world.turn_until([&] { return t.world.counters.value("amqp.blocked") == 1; }, 20000));
+  for (int i = 0; i < 10; ++i) t.broker.send("m" + std::to_string(i), "bin-record", "y" + std::to_string(i));
+  REQUIRE(t.world.turn_until([&] { return t.world.host[0]->execs == 11; }, 20000));
+  const Millis began = t.world.loop.now();
+  t.world.turn_until([&] { return t.world.loop.now() - began > Millis(100); }, 20000);
+  CHECK(t.broker.answers.size() == 1);
+  t.broker.say_all(amqp::method::connection_unblocked, amqp::Writer());
+  REQUIRE(t.answered("m9"));
+  REQUIRE(t.settled());
+  CHECK(t.broker.answers.size() == 11);
+}
+
+// What is not confirmed is not acknowledged, so that the broker's prefetch bounds what waits here.
+TEST_CASE("with no confirm coming, consuming pauses") {
+  Triggers t(1);
+  t.broker.withhold = true;
+  for (int i = 0; i < 100; ++i) t.broker.send("m" + std::to_string(i), "bin-check", "x");
+  REQUIRE(t.answered("m15"));
+  const Millis began = t.world.loop.now();
+  t.world.turn_until([&] { return t.world.loop.now() - began > Millis(200); }, 20000);
+  CHECK(t.broker.answers.size() == 16);  // the prefetch of these tests
+  CHECK(t.world.counters.value("amqp.deliveries") == 16);
+}
+
 TEST_CASE("the memory of answers is bounded and forgets the oldest first") {
   amqp::Memory memory(3, 1U << 20);
   for (const char* id : {"a", "b", "c", "d"}) {
