AMQP topology is declared from the operator's file; a cancelled consumer is made again

The channel declares them one after the other before it consumes, so that a 404 or 406 is known to be of the one that is out; Recovery tells the operator the key in the file and waits as for any fault that does not pass by itself. On basic.cancel the queue is made again where the file makes it, and consumed over the same connection.

--- a/src/amqp/channel.cpp
+++ b/src/amqp/channel.cpp
@@ -48,6 +48,7 @@
 bool Channel::closed_by(Reader& in, const char* why) {
   ending_.code = in.u16();
   counters_.add(std::string("amqp.closed.") + name_of(ending_.code));
+  if (state_ == State::declare) ending_.about = broker_.topology[declared_].key;
   flush_now();
   return lost(why);
 }
@@ -143,8 +144,17 @@
       say(method::basic_qos, kChannel, Writer().u32(0).u16(broker_.prefetch).u8(0));
       return true;
     case method::basic_qos_ok:
-      if (!step(State::qos, State::consume)) return false;
-      consume_all();
+      if (!step(State::qos, State::declare)) return false;
+      declare_next();
+      return true;
+    case method::exchange_declare_ok:
+    case method::queue_declare_ok:
+    case method::queue_bind_ok:
+      if (state_ == State::up) return true;  // of a queue made again
+      if (state_ != State::declare || id != declare(broker_.topology[declared_]).ok)
+        return lost("amqp.out_of_order");
+      ++declared_;
+      declare_next();
       return true;
     case method::basic_consume_ok:
       if (state_ == State::consume && ++consumers_ == broker_.queues.size()) {
@@ -155,7 +165,7 @@
       }
       return true;
     case method::basic_cancel_ok: return true;
-    case method::basic_cancel: return lost("amqp.consumer_cancelled");  // the queue is gone: begin anew
+    case method::basic_cancel: consume_again(in.short_text()); return true;
     case method::basic_deliver:
       in.short_text();
       delivery_ = Delivery();
@@ -201,10 +211,35 @@
   }
 }
 
+// One after the other, so that a refusal is known to be of the one that is out.
+void Channel::declare_next() {
+  if (declared_ < broker_.topology.size()) {
+    const Declared next = declare(broker_.topology[declared_]);
+    return say(next.method, kChannel, next.arguments);
+  }
+  state_ = State::consume;
+  consume_all();
+}
+
 void Channel::consume_all() {
+  for (std::size_t i = 0; i < broker_.queues.size(); ++i) consume(i);
+}
+void Channel::consume(std::size_t queue) {
+  say(method::basic_consume, kChannel,
+      Writer().u16(0).short_text(broker_.queues[queue]).short_text(consumer_tag(queue)).u8(0).table({}));
+}
+
+// The broker ends one consumer as its queue is deleted or moves. If it cannot be consumed again the broker
+// closes the channel, and Recovery decides when to come back; the other queues are served until then.
+void Channel::consume_again(const std::string& tag) {
+  counters_.add("amqp.consumer_cancelled");
   for (std::size_t i = 0; i < broker_.queues.size(); ++i) {
-    say(method::basic_consume, kChannel,
-        Writer().u16(0).short_text(broker_.queues[i]).short_text(consumer_tag(i)).u8(0).table({}));
+    if (consumer_tag(i) != tag) continue;
+    if (const Declaration* maker = maker_of(broker_.topology, broker_.queues[i])) {
+      const Declared again = declare(*maker);
+      say(again.method, kChannel, again.arguments);
+    }
+    consume(i);
   }
 }
 
--- a/src/amqp/channel.h
+++ b/src/amqp/channel.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "amqp/recovery.h"
+#include "amqp/topology.h"
 #include "amqp/wire.h"
 #include "core/counters.h"
 #include "net/stream.h"
@@ -16,6 +17,7 @@
   std::vector<std::string> addresses;  // tried in turn
   std::string user = "guest", password = "guest", vhost = "/";
   std::vector<std::string> queues;
+  Topology topology;  // declared before the queues are consumed
   std::uint16_t prefetch = 32, heartbeat_s = 10;
   std::size_t longest_body = 16 * 1024;
 };
@@ -52,14 +54,14 @@
   void close();  // says goodbye; ends once the broker has answered
 
  private:
-  enum class State { start, tune, open, channel, confirm, qos, consume, up, closing };
+  enum class State { start, tune, open, channel, confirm, qos, declare, consume, up, closing };
   core::Counters& counters_;
   const Broker& broker_;
   Consumer& consumer_;
   State state_ = State::start;
   FrameParser parser_;
   std::size_t frame_most_ = 4096;
-  std::size_t consumers_ = 0;
+  std::size_t consumers_ = 0, declared_ = 0;
   std::uint64_t published_ = 0;
   bool flowing_ = true, blocked_ = false;
   Ending ending_;
@@ -80,7 +82,10 @@
   bool content(Frame&& frame);
   void content_done();
   void say(std::uint32_t id, std::uint16_t channel, const Writer& arguments);
+  void declare_next();
   void consume_all();
+  void consume(std::size_t queue);
+  void consume_again(const std::string& tag);
   void beat();
   void watch_quiet();
   bool lost(const char* why);
--- a/src/amqp/methods.h
+++ b/src/amqp/methods.h
@@ -15,6 +15,9 @@
 constexpr std::uint32_t channel_open = id(20, 10), channel_open_ok = id(20, 11);
 constexpr std::uint32_t channel_flow = id(20, 20), channel_flow_ok = id(20, 21);
 constexpr std::uint32_t channel_close = id(20, 40), channel_close_ok = id(20, 41);
+constexpr std::uint32_t exchange_declare = id(40, 10), exchange_declare_ok = id(40, 11);
+constexpr std::uint32_t queue_declare = id(50, 10), queue_declare_ok = id(50, 11);
+constexpr std::uint32_t queue_bind = id(50, 20), queue_bind_ok = id(50, 21);
 constexpr std::uint32_t basic_qos = id(60, 10), basic_qos_ok = id(60, 11);
 constexpr std::uint32_t basic_consume = id(60, 20), basic_consume_ok = id(60, 21);
 constexpr std::uint32_t basic_cancel = id(60, 30), basic_cancel_ok = id(60, 31);
--- a/src/amqp/recovery.cpp
+++ b/src/amqp/recovery.cpp
@@ -80,7 +80,8 @@
                   ? "the broker ended the connection at the login: the user, password or vhost is refused"
                   : "the broker refused access (403): see user, password, vhost and their permissions";
   } else if (again == Again::operator_) {
-    out.say = std::string("the broker refuses for good: ") + std::to_string(code) + " " + name_of(code);
+    out.say = (ending.about.empty() ? "" : "configuration: " + ending.about + ": ") +
+              "the broker refuses for good: " + std::to_string(code) + " " + name_of(code);
   }
   return out;
 }
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -79,6 +79,7 @@
   out.password = from.password;
   out.vhost = from.vhost;
   out.queues = from.queues;
+  out.topology = from.topology;
   out.prefetch = from.prefetch;
   out.heartbeat_s = from.heartbeat_s;
   out.longest_body = from.body_kb << 10;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -54,6 +54,76 @@
   return static_cast<T>(number_within(from, name, path, static_cast<double>(missing), least, most));
 }
 
+// Arguments of a declaration: numbers, texts and flags, as brokers take them.
+amqp::Table read_arguments(const json& from, const std::string& path) {
+  amqp::Table out;
+  if (from.is_null()) return out;
+  if (!from.is_object()) fault(path, "an object is needed");
+  for (const auto& [name, value] : from.items()) {
+    const std::string here = path + "." + name;
+    if (name.empty() || name.size() > 128) fault(here, "a name has 1 to 128 bytes");
+    if (value.is_boolean()) {
+      out[name] = value.get<bool>();
+    } else if (value.is_number_integer()) {
+      out[name] = value.get<std::int64_t>();
+    } else if (value.is_number()) {
+      out[name] = value.get<double>();
+    } else if (value.is_string()) {
+      out[name] = value.get<std::string>();
+    } else {
+      fault(here, "a text, a number, true or false is needed");
+    }
+  }
+  return out;
+}
+
+amqp::Topology read_topology(const json& from) {
+  using Kind = amqp::Declaration::Kind;
+  amqp::Topology out;
+  if (from.is_null()) return out;
+  if (!from.is_object()) fault("amqp.topology", "an object is needed");
+  const auto read = [&](const char* list, Kind kind) {
+    const json& rows = key(from, list);
+    const std::string path = std::string("amqp.topology.") + list;
+    if (rows.is_null()) return;
+    if (!rows.is_array()) fault(path, "an array is needed");
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+      amqp::Declaration one;
+      one.kind = kind;
+      one.key = path + "[" + std::to_string(i) + "]";
+      const json& row = rows[i];
+      const auto short_text = [&](const char* name, const char* otherwise) {
+        const std::string value = needed_text(row, name, one.key + "." + name, otherwise);
+        if (value.size() > 255) fault(one.key + "." + name, "at most 255 bytes");
+        return value;
+      };
+      const auto yes = [&](const char* name, bool otherwise) {
+        const json& value = key(row, name);
+        if (!value.is_null() && !value.is_boolean()) fault(one.key + "." + name, "true or false is needed");
+        return value.is_null() ? otherwise : value.get<bool>();
+      };
+      if (kind == Kind::binding) {
+        one.queue = short_text("queue", nullptr);
+        one.exchange = short_text("exchange", nullptr);
+        one.routing_key = short_text("routing_key", "");
+      } else {
+        one.name = short_text("name", nullptr);
+        one.type = short_text("type", "direct");
+        one.passive = yes("passive", false);
+        one.durable = yes("durable", true);
+        one.exclusive = yes("exclusive", false);
+        one.auto_delete = yes("auto_delete", false);
+      }
+      one.arguments = read_arguments(key(row, "arguments"), one.key + ".arguments");
+      out.push_back(std::move(one));
+    }
+  };
+  read("exchanges", Kind::exchange);
+  read("queues", Kind::queue);
+  read("bindings", Kind::binding);
+  return out;
+}
+
 AmqpConfig read_amqp(const json& from) {
   if (!from.is_object()) fault("amqp", "an object is needed");
   AmqpConfig out;
@@ -80,6 +150,7 @@
     if (name.empty() || name.size() > 255) fault("amqp.queues", "a name has 1 to 255 bytes");
     out.queues.push_back(name);
   }
+  out.topology = read_topology(key(from, "topology"));
   out.prefetch = whole_within(from, "prefetch", "amqp.prefetch", out.prefetch, 1, 1000);
   out.heartbeat_s = whole_within(from, "heartbeat_s", "amqp.heartbeat_s", out.heartbeat_s, 0, 600);
   out.body_kb = whole_within(from, "body_kb", "amqp.body_kb", out.body_kb, 1, 1024);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "amqp/topology.h"
 #include "robinfold/policy.h"
 
 namespace lotusyard::config {
@@ -22,6 +23,7 @@
   std::vector<std::string> brokers;  // tried in turn
   std::string user = "guest", password = "guest", vhost = "/";
   std::vector<std::string> queues;
+  amqp::Topology topology;
   std::uint16_t prefetch = 32, heartbeat_s = 10;
   std::size_t body_kb = 16, open_calls = 256, remembered = 10000, remembered_mb = 16;
   std::string store;  // path of the durable answers; empty: none
--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -64,6 +64,17 @@
   CHECK_THAT(fault_of(file), Catch::Contains("amqp.broker"));
   file["amqp"] = {{"broker", "127.0.0.1:5672"}, {"queues", {"calls"}}, {"prefetch", 0}};
   CHECK_THAT(fault_of(file), Catch::Contains("amqp.prefetch"));
+  file["amqp"] = {{"brokers", {"127.0.0.1:5672", "rabbit:1"}}, {"queues", {"calls"}}};
+  CHECK_THAT(fault_of(file), Catch::Contains("amqp.brokers"));
+  file["amqp"]["brokers"] = {"127.0.0.1:5672", "127.0.0.2:5672"};
+  CHECK(fault_of(file).empty());
+  json queue = {{"name", "calls"}, {"arguments", {{"x-message-ttl", 5}, {"x-queue-mode", "lazy"}}}};
+  file["amqp"]["topology"] = {{"queues", json::array({queue})}};
+  CHECK(fault_of(file).empty());
+  file["amqp"]["topology"]["queues"][0]["durable"] = "yes";
+  CHECK_THAT(fault_of(file), Catch::Contains("amqp.topology.queues[0].durable"));
+  file["amqp"]["topology"] = {{"bindings", json::array({{{"queue", "calls"}}})}};
+  CHECK_THAT(fault_of(file), Catch::Contains("amqp.topology.bindings[0].exchange"));
   file.erase("amqp");
   CHECK_THAT(fault_of(file), Catch::Contains("seed") || Catch::Contains("listen"));
 }
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -309,6 +309,25 @@
           in.u32();
           prefetch = in.u16();
           return say(method::basic_qos_ok, 1, Writer());
+        case method::exchange_declare: return say(method::exchange_declare_ok, 1, Writer());
+        case method::queue_bind:
+          ++broker_.bindings;
+          return say(method::queue_bind_ok, 1, Writer());
+        case method::queue_declare: {
+          in.u16();
+          const std::string name = in.short_text();
+          const bool passive = (in.u8() & 1) != 0;
+          const Table wanted = in.table();
+          const auto known = broker_.queues.find(name);
+          const int code = known == broker_.queues.end() ? (passive ? 404 : 0)
+                           : !passive && known->second != wanted ? 406
+                                                                 : 0;
+          if (code != 0)
+            return say(method::channel_close, 1,
+                       Writer().u16(static_cast<std::uint64_t>(code)).short_text("as told").u16(50).u16(10));
+          broker_.queues.emplace(name, wanted);
+          return say(method::queue_declare_ok, 1, Writer().short_text(name).u32(0).u32(0));
+        }
         case method::basic_consume: {
           in.u16();
           in.short_text();
@@ -362,6 +381,8 @@
   int missing_queues = 0;
   std::uint16_t close_with = 0;  // connections are closed with this code before they open
   int closes = 0;
+  int bindings = 0;
+  std::map<std::string, amqp::Table> queues;  // declared, with their arguments
   bool withhold = false;  // no confirm is sent
 
   bool chance(unsigned in_thousand) { return below(random, 1000) < in_thousand; }
--- a/tests/lotusyard/triggers.h
+++ b/tests/lotusyard/triggers.h
@@ -11,12 +11,13 @@
  public:
   explicit Triggers(std::size_t hosts, std::uint64_t seed = 1, amqp::Front::Limits limits = {},
                     const core::Settings& s = settings(), answers::Store* store = nullptr,
-                    std::vector<std::string> before = {})
+                    std::vector<std::string> before = {}, amqp::Topology topology = {})
       : world(hosts, s), broker(world.loop, world.pool, seed) {
     amqp::Broker at;
     at.addresses = std::move(before);
     at.addresses.push_back(broker.server.address());
     at.queues = {"calls"};
+    at.topology = std::move(topology);
     at.prefetch = 16;
     front = std::make_unique<amqp::Front>(world.loop, world.pool, world.dispatcher, world.counters, s, at,
                                           limits, store);
--- a/tests/lotusyard/triggers_test.cpp
+++ b/tests/lotusyard/triggers_test.cpp
@@ -250,6 +250,53 @@
   CHECK(t.world.counters.value("amqp.deliveries") == 16);
 }
 
+amqp::Topology topology_of_calls() {
+  amqp::Declaration exchange, queue, binding;
+  exchange.kind = amqp::Declaration::Kind::exchange;
+  exchange.name = "bins";
+  queue.name = "calls";
+  queue.key = "amqp.topology.queues[0]";
+  queue.arguments = {{"x-message-ttl", std::int64_t{5000}}, {"x-dead-letter-exchange", std::string("dead")}};
+  binding.kind = amqp::Declaration::Kind::binding;
+  binding.queue = "calls";
+  binding.exchange = "bins";
+  return {exchange, queue, binding};
+}
+
+TEST_CASE("what the file wants is declared in its order; a mismatch names its key and is not hurried") {
+  Triggers t(1, 1, {}, settings(), nullptr, {}, topology_of_calls());
+  const bool fits = GENERATE(true, false);
+  if (!fits) t.broker.queues["calls"] = {{"x-message-ttl", std::int64_t{1}}};
+  std::ostringstream said;
+  auto* const before = std::cerr.rdbuf(said.rdbuf());
+  t.broker.send("a", "bin-check", "x");
+  if (fits) {
+    CHECK(t.answered("a"));
+    CHECK(t.broker.queues["calls"].size() == 2);
+    CHECK(t.broker.bindings == 1);
+  } else {
+    CHECK(t.world.turn_until([&] { return t.world.counters.value("amqp.closed.precondition_failed") == 1; },
+                             20000));
+    CHECK(said.str().find("amqp.topology.queues[0]: the broker refuses for good: 406") != std::string::npos);
+  }
+  std::cerr.rdbuf(before);
+}
+
+TEST_CASE("a consumer that the broker cancels is made again over the same connection, its queue too") {
+  Triggers t(1, 1, {}, settings(), nullptr, {}, topology_of_calls());
+  t.broker.send("a", "bin-check", "x");
+  REQUIRE(t.answered("a"));
+  REQUIRE(t.broker.server.peers.size() == 1);
+  t.broker.queues.clear();  // it is deleted
+  t.broker.server.peers.front()->consuming = false;
+  t.broker.server.peers.front()->say(amqp::method::basic_cancel, 1,
+                                     amqp::Writer().short_text("lotusyard-0").u8(0));
+  REQUIRE(t.world.turn_until([&] { return t.broker.queues.count("calls") == 1; }, 20000));
+  t.broker.send("b", "bin-check", "y");
+  REQUIRE(t.answered("b"));
+  CHECK(t.world.counters.value("amqp.down") == 0);
+}
+
 TEST_CASE("the memory of answers is bounded and forgets the oldest first") {
   amqp::Memory memory(3, 1U << 20);
   for (const char* id : {"a", "b", "c", "d"}) {
