--- a/src/amqp/recovery.h
+++ b/src/amqp/recovery.h
@@ -19,7 +19,7 @@
   bool came_up = false;   // consuming had begun
   Millis up_for{0};       // since then
   bool at_login = false;  // after our credentials, before the broker tuned: a refusal may have no code at all
-  std::string about;      // the key in the operator's file that was refused, if one is known
+  std::string about{};    // the key in the operator's file that was refused, if one is known
 };
 
 // What the specification's reply codes say of trying again.
