--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -184,6 +184,25 @@
   EXPECT_EQ(r.refused, std::vector<std::string>{"last"});
 }
 
+// Guards against settings that name no number of routers, one, or one that cannot be.
+TEST(BadInput, AnyNumberOfRoutersIsServedWith) {
+  for (const int routers : {-5, 0, 1, 100, 1000000}) {
+    Settings s = crowd_settings();
+    s.miss_is_answered = true;
+    s.routers = routers;
+    Router r(s);
+    r.list({entry("a"), entry("cold", WorkerState::ready, 999)});
+    for (int i = 0; i < 20 && r.sends.empty(); ++i) {
+      r.request(id("x", i), static_cast<std::uint64_t>(i), "safe", 4000);
+      if (!r.loads.empty()) r.loaded(r.loads.back().worker, r.loads.back().function, 1);
+    }
+    ASSERT_FALSE(r.sends.empty()) << routers;
+    r.answer(r.sends.back(), Outcome::ok);
+    r.pass(5000);
+    EXPECT_FALSE(r.broken);
+  }
+}
+
 // Failure found: five of 40 hosts failed five in six calls for ten seconds; each of 100 routers, which call a host
 // once in seconds, paid two failures there and came back a second later: 2,252 errors in all.
 TEST(Health, AnErrorAtOnceExcludesItsWorkerWithManyRouters) {
