A door for operators, hosts out by hand, and one listener for two processes

Lines at fault: src/app/app.cpp, run(), which always listens itself.

Design: src/console/ reads HTTP/1.1 and decides nothing; the loop serves it first in a turn and again every 20 ms in the midst of one; its places and buffers are its own. src/membership/ makes one state a host of list and hand, without I/O; who is out stands in $TMPDIR as one empty file a host, created and unlinked, each in one system call. src/takeover/ parts the limits between two processes in one place; each holds a lock on a file, which tells the other that it lives. At SIGTERM the old one stops accepting, ends each connection at rest, and after 0.4 s refuses new calls on those that never are.

Rejected: one file with all hosts, rewritten and locked: a process killed between its steps leaves half of a change. A thread for the console: everything it touches would need locks. Closing connections at SIGTERM whatever is open: each call on them is lost.

A probe that printed the open calls every 0.1 s showed 20 of them over 6 connections that never were at rest, up to SIGKILL 2.1 s after SIGTERM: the platform takes the longest deadline as 3 s at most, and the program took it as 3 s at least (kLeastKill).

An answer from a host is bounded by what has come in over all connections, and by 0.2 s between two of its pieces; before by a share for each connection, 98 KB where answers have 230 KB, and by 0.2 s in all.

Checked: the parser by cuts and garbage, each faulty call by its status, half calls beside whole ones, a call in the midst of a long turn; membership by random series of list events, calls, restarts and kills at two processes; shares over all limits; the lock of a killed process; what is no listener.

--- a/src/app/app.h
+++ b/src/app/app.h
@@ -1,4 +1,4 @@
-// Wires the parts of one invoker together, and ends it as the platform asks.
+// Starts one invoker as its file and its environment say.
 #pragma once
 
 #include <functional>
@@ -16,6 +16,7 @@
                                                                  core::Counters&)>;
 
 std::string environment(const char* name);  // empty if it is not set
+config::Environment read_environment();
 int run(const std::string& file, const StoreMaker& make_store);
 
 }  // namespace lotusyard
--- /dev/null
+++ b/src/app/invoker.cpp
@@ -0,0 +1,271 @@
+#include "app/invoker.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace lotusyard {
+namespace {
+
+using core::Millis;
+using takeover::Standing;
+
+constexpr Millis kComingFor{800};  // after SIGTERM connections and calls keep coming for at most 0.6 s
+constexpr Millis kListenFor{500};  // new connections for at most 0.4 s of these
+constexpr Millis kMostKill{
+    3000};  // SIGKILL comes no sooner than the longest deadline, at most this, plus 0.7 s
+constexpr Millis kKillSlack{600};
+constexpr Millis kTakeFor{400};   // calls that come by then end before SIGKILL; a margin for a busy machine
+constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
+constexpr Millis kTurnMost{20};   // while it ends
+
+std::shared_ptr<const config::Config> read_file(const std::string& file) {
+  if (file.empty())
+    throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
+  return std::make_shared<const config::Config>(
+      config::read_config(config::read_json_file(file), read_environment()));
+}
+
+std::string folder_of(const config::Config& config) {
+  const std::string base = environment("TMPDIR");
+  const bool needed = !config.console.empty() || config.listen_fd >= 0;
+  if (!needed || base.empty()) return {};
+  return base + "/lotusyard." + membership::OutFiles::file_name(config.name);
+}
+
+hosts::Limits host_limits(const config::Config& config, const takeover::Shares& shares) {
+  hosts::Limits out;
+  out.connect_timeout = config.settings.connect_timeout;
+  out.idle = config.connection_idle;
+  out.order_timeout = config.settings.order_timeout;
+  out.attempts_a_link = config.attempts_a_link;
+  out.links = shares.links;
+  out.incoming = shares.incoming;
+  const std::size_t longest_call =
+      std::max(config.amqp ? config.amqp->body_kb << 10 : 0, resp::Parser::longest_word);
+  out.longest_answer = std::max({shares.incoming / 4, std::size_t{256} << 10, longest_call});
+  out.report_fields = config.report_fields;
+  return out;
+}
+
+amqp::Broker broker_of(const config::AmqpConfig& from) {
+  amqp::Broker out;
+  out.addresses = from.brokers;
+  out.user = from.user;
+  out.password = from.password;
+  out.vhost = from.vhost;
+  out.queues = from.queues;
+  out.topology = from.topology;
+  out.prefetch = from.prefetch;
+  out.heartbeat_s = from.heartbeat_s;
+  out.longest_body = from.body_kb << 10;
+  return out;
+}
+
+}  // namespace
+
+Invoker::Invoker(std::string file, const StoreMaker& make_store)
+    : file_(std::move(file)),
+      signals_(loop_),  // first: no signal may end the program while it starts
+      config_(read_file(file_)),
+      folder_(folder_of(*config_)),
+      presence_(replaces() ? folder_ : std::string()),
+      standing_(presence_.other_lives() ? Standing::beside : Standing::alone),
+      pool_(shares().unwritten / net::BufferPool::block_size),
+      fleet_(loop_, pool_, counters_, host_limits(*config_, shares())),
+      dispatcher_(
+          config_->settings, [this] { return loop_.now(); }, fleet_, counters_),
+      out_files_(folder_.empty() ? folder_ : folder_ + "/out"),
+      membership_([this](const core::MemberList& list, core::ListKind kind) {
+        fleet_.members(list);  // first: what the module sends next needs the addresses
+        core::HostList entries{kind, {}};
+        for (const auto& member : list.members) entries.entries.push_back(member.entry);
+        dispatcher_.members(std::move(entries));
+      }),
+      front_(loop_, pool_, dispatcher_, counters_, front_limits()) {
+  fleet_.attach(dispatcher_);
+  if (!folder_.empty()) look();  // before any host is named: none may be used that is out
+  follow_list();
+  listen();
+  take_triggers(make_store);
+  open_door();
+}
+
+Invoker::~Invoker() { loop_.cancel(look_); }
+
+takeover::Shares Invoker::shares() const {
+  return takeover::shares_of(config_->memory_mb, config_->sockets, standing_);
+}
+
+resp::Front::Limits Invoker::front_limits() const {
+  const auto mine = shares();
+  resp::Front::Limits out;
+  out.clients = mine.clients;
+  out.newcomers = mine.newcomers;
+  out.body_bytes = mine.bodies;
+  return out;
+}
+
+void Invoker::follow_list() {
+  feed::Log log;
+  for (const auto& event : config_->known_events) {
+    core::MemberList list;
+    if (log.event(event, list) != feed::Log::Read::news) continue;
+    membership_.list(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
+  }
+  log.skip_to(config_->known_seq);
+  const auto told_later = [this](const core::MemberList& list) {
+    membership_.list(list, list.complete ? core::ListKind::full : core::ListKind::delta);
+  };
+  if (config_->xds) {
+    const auto& xds = *config_->xds;
+    host_file_.emplace(loop_, counters_, xds.file, xds.cluster, xds.reread, told_later);
+    std::string fault;
+    if (!host_file_->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
+  } else {
+    feed_.emplace(loop_, pool_, counters_, config_->changelog, log, told_later);
+    feed_->start();
+  }
+}
+
+void Invoker::listen() {
+  if (config_->listen.empty()) return;
+  if (replaces()) {
+    front_.listen(net::adopt_listener(config_->listen_fd));
+    if (!front_.listening()) {
+      throw config::ConfigError("configuration: BALANCER_LISTEN_FD: descriptor " +
+                                std::to_string(config_->listen_fd) + " is no listening TCP socket");
+    }
+  } else if (!front_.listen(config_->listen)) {
+    throw config::ConfigError("configuration: listen: cannot listen on " + config_->listen);
+  }
+  std::cout << "lotusyard " << config_->name << " listens on " << config_->listen << std::endl;
+}
+
+void Invoker::open_door() {
+  if (config_->console.empty()) return;
+  door_.emplace(loop_, counters_, static_cast<console::Operations&>(*this), shares().callers);
+  if (!door_->listen(config_->console)) {
+    throw config::ConfigError("configuration: console: cannot listen on " + config_->console);
+  }
+  std::cout << "lotusyard " << config_->name << " is operated at " << config_->console << std::endl;
+  if (folder_.empty())
+    std::cerr << "lotusyard: TMPDIR is not set: no host can be taken out by hand" << std::endl;
+}
+
+void Invoker::take_triggers(const StoreMaker& make_store) {
+  if (!config_->amqp) return;
+  const auto& amqp = *config_->amqp;
+  if (!amqp.store.empty()) {
+    if (!make_store)
+      throw config::ConfigError("configuration: amqp.store: this program keeps none; lotusyard_full does");
+    store_ = make_store(amqp, loop_.now(), counters_);
+  }
+  triggers_.emplace(
+      loop_, pool_, dispatcher_, counters_, config_->settings, broker_of(amqp),
+      amqp::Front::Limits{amqp.open_calls, amqp.remembered, amqp.remembered_mb << 20, amqp.sole_consumer},
+      store_.get());
+  triggers_->start();
+  std::cout << "lotusyard " << config_->name << " takes triggers from " << amqp.brokers.front() << std::endl;
+}
+
+void Invoker::look() {
+  if (const auto out = out_files_.read()) {
+    membership_.follow(*out, loop_.now());
+  } else {
+    counters_.add("membership.not_read");  // what was known holds
+  }
+  const Standing other = ending() ? Standing::leaving : Standing::beside;
+  if (presence_.known()) stand(presence_.other_lives() ? other : Standing::alone);
+  look_ = loop_.at(loop_.now() + kLookPace, [this] { look(); });
+}
+
+void Invoker::stand(Standing standing) {
+  if (standing == standing_) return;
+  standing_ = standing;
+  const auto mine = shares();
+  pool_.bound(mine.unwritten / net::BufferPool::block_size);
+  fleet_.bound(mine.links, mine.incoming);
+  front_.bound(front_limits());
+  counters_.add("takeover.changes");
+}
+
+// The file is read whole and checked; only then is the list of hosts followed to where it says.
+void Invoker::reread() {
+  try {
+    const auto next = read_file(file_);
+    if (next->xds.has_value() != config_->xds.has_value())
+      throw config::ConfigError("configuration: xds: can be added or removed at a start only");
+    std::string fault;
+    if (host_file_ && !host_file_->move(next->xds->file, next->xds->cluster, fault))
+      throw config::ConfigError("configuration: xds.file: " + fault);
+    if (feed_) feed_->move(next->changelog);
+    counters_.add("config.reread");
+  } catch (const std::exception& fault) {
+    counters_.add("config.faulty");  // the old one goes on
+    std::cerr << "lotusyard: " << fault.what() << std::endl;
+  }
+}
+
+bool Invoker::ready() const { return front_.listening() && !ending(); }
+
+console::Done Invoker::disable(const std::string& host) {
+  if (!membership_.known(host)) return console::Done::unknown_host;
+  if (!out_files_.add(host)) return console::Done::not_kept;
+  membership_.disable(host);
+  std::cout << "lotusyard " << config_->name << ": host " << host << " is out by hand" << std::endl;
+  return console::Done::yes;
+}
+
+console::Done Invoker::enable(const std::string& host) {
+  if (!membership_.known(host)) return console::Done::unknown_host;
+  if (!out_files_.remove(host)) return console::Done::not_kept;
+  membership_.enable(host, loop_.now());
+  std::cout << "lotusyard " << config_->name << ": host " << host << " may be used again" << std::endl;
+  return console::Done::yes;
+}
+
+void Invoker::begin_end() {
+  told_to_end_ = loop_.now();
+  if (replaces()) {
+    // The other process takes clients: what comes next is for it.
+    front_.stop_listening();
+    if (standing_ != Standing::alone) stand(Standing::leaving);
+  } else {
+    front_.drain();
+  }
+  if (triggers_) triggers_->drain();
+}
+
+bool Invoker::ended() {
+  const Millis since = loop_.now() - told_to_end_;
+  Millis longest{0};
+  for (const auto& c : config_->settings.classes) longest = std::max(longest, c.deadline);
+  if (since > std::min(longest, kMostKill) + kKillSlack) return true;
+  bool quiet = front_.open_calls() == 0 && front_.written();
+  if (replaces()) {
+    // Danger: a connection that always has something open would still have at the end, and lose it.
+    if (since > kTakeFor) front_.take_no_more();
+    quiet = front_.hand_over() && quiet;
+  } else {
+    if (since > kListenFor) front_.stop_listening();
+    quiet = quiet && since > kComingFor;
+  }
+  return quiet && (!triggers_ || triggers_->done()) && (!door_ || door_->quiet());
+}
+
+void Invoker::run() {
+  while (true) {
+    Millis due = dispatcher_.next_due();
+    if (ending()) due = std::min(due, loop_.now() + kTurnMost);
+    loop_.turn(due, [this] { dispatcher_.tick(); });
+    if (signals_.print()) counters_.print(std::cout);
+    if (signals_.reread()) reread();
+    if (signals_.terminate() && !ending()) begin_end();
+    if (ending() && ended()) break;
+  }
+  if (triggers_) triggers_->close();
+  loop_.turn(loop_.now(), [] {});
+  counters_.print(std::cout);
+}
+
+}  // namespace lotusyard
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,6 +7,7 @@
 #include "config/settings.h"
 #include "net/fields.h"
 #include "net/socket.h"
+#include "takeover/shares.h"
 
 namespace lotusyard::config {
 namespace {
@@ -210,20 +211,28 @@
   return read;
 }
 
-Config read_config(const json& file, const std::string& name, const std::string& listen) {
+Config read_config(const json& file, const Environment& environment) {
   Config out;
-  out.name = key(file, "name").is_string() ? text(key(file, "name")) : name;
+  out.name = key(file, "name").is_string() ? text(key(file, "name")) : environment.name;
   if (!key(file, "amqp").is_null()) out.amqp = read_amqp(key(file, "amqp"));
   if (!key(file, "xds").is_null()) out.xds = read_xds(key(file, "xds"));
   const bool listens = !out.amqp || !key(file, "listen").is_null();
-  if (listens) out.listen = address(file, "listen", listen);
+  if (listens) out.listen = address(file, "listen", environment.listen);
+  if (!environment.listen_fd.empty()) {
+    const auto fd = net::parse_whole(environment.listen_fd, 1000000);
+    if (!fd) fault("BALANCER_LISTEN_FD", "no descriptor's number: '" + environment.listen_fd + "'");
+    out.listen_fd = static_cast<int>(*fd);
+  }
+  const bool has_console = !key(file, "console").is_null() || !environment.console.empty();
+  if (has_console) out.console = address(file, "console", environment.console);
   if (!out.xds) out.changelog = address(file, "changelog", "");
   out.seed = read_seed(file);
   const json& limits = key(file, "limits");
   if (!limits.is_null() && !limits.is_object()) fault("limits", "an object is needed");
-  out.memory_mb =
-      static_cast<std::size_t>(number_within(limits, "memory_mb", "limits.memory_mb", 192, 32, 1e6));
-  out.sockets = static_cast<std::size_t>(number_within(limits, "sockets", "limits.sockets", 1024, 64, 1e6));
+  out.memory_mb = static_cast<std::size_t>(
+      number_within(limits, "memory_mb", "limits.memory_mb", 192, takeover::least_memory_mb, 1e6));
+  out.sockets = static_cast<std::size_t>(
+      number_within(limits, "sockets", "limits.sockets", 1024, takeover::least_sockets, 1e6));
   const json& known = key(file, "known");
   if (!known.is_null()) {
     if (!key(known, "seq").is_number_unsigned()) fault("known.seq", "a whole number is needed");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -39,6 +39,8 @@
 
 struct Config {
   std::string name, listen, changelog;  // listen: empty where only triggers bring calls
+  std::string console;                  // the operators' door; empty: none
+  int listen_fd = -1;                   // a listening socket that the platform holds; -1: none
   std::optional<AmqpConfig> amqp;
   std::optional<XdsConfig> xds;
   std::uint64_t seed = 0;
@@ -51,8 +53,11 @@
   std::vector<std::string> report_fields;
 };
 
-// `listen` and `name` come from the environment where the file has none.
-Config read_config(const nlohmann::json& file, const std::string& name, const std::string& listen);
+// What the environment tells, for what the file leaves out; `listen_fd` stands in the environment alone.
+struct Environment {
+  std::string name, listen, console, listen_fd;
+};
+Config read_config(const nlohmann::json& file, const Environment& environment);
 nlohmann::json read_json_file(const std::string& path);  // throws ConfigError
 
 }  // namespace lotusyard::config
--- /dev/null
+++ b/src/console/door.cpp
@@ -0,0 +1,162 @@
+#include "console/door.h"
+
+#include <algorithm>
+
+namespace lotusyard::console {
+namespace {
+
+using net::Millis;
+
+constexpr Millis kWholeMost{3000};  // from connecting to a call's last byte
+constexpr std::size_t kAcceptsATurn = 16;
+constexpr Millis kNoDescriptor{50};
+constexpr std::string_view kHosts = "/-/hosts/";
+
+const char* reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 413: return "Content Too Large";
+    case 414: return "URI Too Long";
+    case 431: return "Request Header Fields Too Large";
+    case 501: return "Not Implemented";
+    case 503: return "Service Unavailable";
+    case 505: return "HTTP Version Not Supported";
+    default: return "Bad Request";
+  }
+}
+
+}  // namespace
+
+class Door::Caller final : public net::Stream {
+ public:
+  Caller(Door& door, net::Socket socket)
+      : Stream(door.loop_, door.pool_, std::move(socket), false, net::Loop::Rank::urgent), door_(door) {
+    // Danger: half a call would hold its place for good.
+    whole_by_ =
+        loop().at(loop().now() + kWholeMost, [this] { turn_away(408, "the call did not come whole"); });
+  }
+  ~Caller() override { loop().cancel(whole_by_); }
+  std::list<std::shared_ptr<Caller>>::iterator place;
+  bool answered() const { return answered_; }
+
+  void turn_away(int status, const std::string& why) {
+    if (answered_) return end_later();
+    door_.counters_.add("console.faulty." + std::to_string(status));
+    answer(status, why);
+  }
+  void answer(int status, const std::string& text, const std::string& more_headers = {}) {
+    answered_ = true;
+    loop().cancel(whole_by_);
+    const std::string body = text + "\n";
+    write("HTTP/1.1 " + std::to_string(status) + ' ' + reason(status) + "\r\n" + more_headers +
+          "Content-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\nCache-Control: no-store\r\nConnection: close\r\n\r\n" + body);
+    finish_later();
+    flush_now();  // before whatever else this turn holds
+  }
+
+ private:
+  Door& door_;
+  Parser parser_;
+  net::Loop::TimerId whole_by_{};
+  bool answered_ = false;
+
+  void received(std::string_view bytes) override {
+    if (answered_) return;  // one call to a connection: what comes behind it is read and left
+    const auto state = parser_.take(bytes);
+    if (state == Parser::State::whole) return door_.serve(*this, parser_.request());
+    if (state == Parser::State::faulty) return turn_away(parser_.fault(), "the call cannot be read");
+    if (!parser_.wants_continue()) return;
+    parser_.continued();
+    write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  void ended() override {
+    loop().cancel(whole_by_);
+    door_.gone(*this);
+  }
+};
+
+Door::Door(net::Loop& loop, core::Counters& counters, Operations& operations, std::size_t callers)
+    : loop_(loop), counters_(counters), operations_(operations), most_(callers), pool_(callers + 1) {}
+
+Door::~Door() {
+  loop_.cancel(again_);
+  if (listener_) loop_.forget(listener_.fd(), *this);
+}
+
+bool Door::listen(const std::string& address) {
+  listener_ = net::listen_on(address);
+  if (listener_) watch();
+  return static_cast<bool>(listener_);
+}
+
+void Door::watch() { loop_.watch(listener_.fd(), *this, POLLIN, net::Loop::Rank::urgent); }
+
+void Door::ready(short) {
+  for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
+    bool exhausted = false;
+    net::Socket socket = net::accept_from(listener_, &exhausted);
+    if (exhausted) {
+      // Danger: a listener that stays readable would spin the loop.
+      counters_.add("console.no_descriptor");
+      loop_.forget(listener_.fd(), *this);
+      again_ = loop_.at(loop_.now() + kNoDescriptor, [this] { watch(); });
+    }
+    if (!socket) return;
+    counters_.add("console.connections");
+    callers_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
+    const std::shared_ptr<Caller> fresh = callers_.back();
+    fresh->place = std::prev(callers_.end());
+    fresh->ready(POLLIN);  // a whole call is mostly there already, and then needs no place to wait in
+    // Danger: callers with half a call keep whole ones out. The one that came first goes, answered ones
+    // ahead.
+    if (callers_.size() <= most_) continue;
+    const auto done =
+        std::find_if(callers_.begin(), callers_.end(), [](const auto& c) { return c->answered(); });
+    const std::shared_ptr<Caller> leaves = done != callers_.end() ? *done : callers_.front();
+    leaves->turn_away(408, "others wait");
+    leaves->end_later();
+    leaves->flush();
+  }
+}
+
+void Door::serve(Caller& caller, const Request& request) {
+  counters_.add("console.calls");
+  const std::string& path = request.path;
+  const auto other_method = [&](const char* allowed) {
+    if (request.method == allowed) return false;
+    counters_.add("console.faulty.405");
+    caller.answer(405, "the method here is " + std::string(allowed),
+                  "Allow: " + std::string(allowed) + "\r\n");
+    return true;
+  };
+  if (path == "/-/ready") {
+    if (other_method("GET")) return;
+    const bool yes = operations_.ready();
+    return caller.answer(yes ? 200 : 503, yes ? "ready" : "not ready: no clients are taken");
+  }
+  const auto last = path.rfind('/');
+  const std::string verb = path.substr(last + 1);
+  const bool of_host = path.compare(0, kHosts.size(), kHosts) == 0 && last > kHosts.size();
+  if (!of_host || (verb != "disable" && verb != "enable")) {
+    counters_.add("console.faulty.404");
+    return caller.answer(404, "no such call");
+  }
+  if (other_method("POST")) return;
+  const std::string host = path.substr(kHosts.size(), last - kHosts.size());
+  const Done done = verb == "disable" ? operations_.disable(host) : operations_.enable(host);
+  counters_.add("console." + verb + (done == Done::yes ? ".yes" : ".no"));
+  if (done == Done::yes) return caller.answer(200, verb + "d");
+  if (done == Done::unknown_host) return caller.answer(404, "no such host");
+  caller.answer(503, "this could not be kept, so nothing has changed");
+}
+
+void Door::gone(Caller& caller) {
+  loop_.bury(*caller.place);
+  callers_.erase(caller.place);
+}
+
+}  // namespace lotusyard::console
--- a/src/full/main.cpp
+++ b/src/full/main.cpp
@@ -24,8 +24,7 @@
 }
 
 config::Config read(const std::string& file) {
-  return config::read_config(config::read_json_file(file), environment("BALANCER_NAME"),
-                             environment("BALANCER_LISTEN"));
+  return config::read_config(config::read_json_file(file), read_environment());
 }
 
 int check(const std::string& file) {
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -26,7 +26,8 @@
 constexpr double kSignsMost = 5;     // and what may be saved up of them
 constexpr int kSignDoublings = 4;
 constexpr Millis kSignMost{250};   // and ended if none comes: a host answers that beside its queue
-constexpr Millis kWholeMost{200};  // an answer that has begun is whole by then, or its rest never comes
+constexpr Millis kPieceMost{200};  // between two pieces of an answer; later, its rest never comes
+constexpr Millis kWholeMost{2000};  // and from its first to its last
 constexpr Millis kCheckPace{50};
 constexpr Millis kPastKept{10000};  // for so long a late answer to an attempt that has ended may still come
 constexpr std::size_t kPastMost = 2048;
@@ -64,6 +65,7 @@
 
   const std::string& host() const { return host_; }
   std::size_t load() const { return attempts_.size() + asked_.size(); }
+  std::size_t held() const { return held_; }  // bytes of an answer that is not whole yet
   bool takes(const std::string& ref) const {
     return !ending() && !retired_ && !suspect_ && attempts_.size() < fleet_.limits_.attempts_a_link &&
            attempts_.count(ref) == 0 && past_.count(ref) == 0;
@@ -162,6 +164,7 @@
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
   Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0};
+  std::size_t held_ = 0;
   int signs_ = 0;  // asked for since the last answer of an attempt
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{};
@@ -194,7 +197,8 @@
     checking_ = false;
     if (load() == 0 || ending()) return;
     const Millis now = fleet_.loop_.now();
-    const bool torn = begun_.count() > 0 && now - begun_ > kWholeMost;
+    // Danger: a long answer, or one that comes in small pieces, takes long though nothing is wrong.
+    const bool torn = begun_.count() > 0 && (now - heard_ > kPieceMost || now - begun_ > kWholeMost);
     const bool unsigned_ = sign_asked_ > heard_ && now - sign_asked_ > kSignMost;
     if (open() && (torn || unsigned_)) {
       fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
@@ -287,6 +291,8 @@
     } else if (begun_.count() == 0 || !replies.empty()) {
       begun_ = heard_;
     }
+    fleet_.hold(*this, held_, parser_.held());
+    held_ = parser_.held();
     if (!sound) {
       fleet_.counters_.add("hosts.malformed");
       end_later();
@@ -342,6 +348,7 @@
     const auto asked = std::move(asked_);
     attempts_.clear();
     asked_.clear();
+    fleet_.hold(*this, std::exchange(held_, 0), 0);
     fleet_.link_gone(*this);  // buried: this object lives to the turn's end
     const auto outcome = [&](bool put, std::uint64_t end) {
       return put && outbox().written() >= end ? Outcome::reset : Outcome::connect_failed;
@@ -408,6 +415,29 @@
   }
 }
 
+void Fleet::bound(std::size_t links, std::size_t incoming) {
+  limits_.links = links;
+  limits_.incoming = incoming;
+}
+
+// Danger: a share of the memory for each connection is too little for one long answer, where there is little;
+// what counts is what has come in over all. The one that holds most goes.
+void Fleet::hold(Link& link, std::size_t before, std::size_t now) {
+  incoming_ = incoming_ + now - before;
+  if (now <= before || incoming_ <= limits_.incoming) return;
+  Link* most = &link;
+  std::size_t least = now;
+  for (auto& [id, host] : hosts_) {
+    for (const auto& other : host.links) {
+      if (other->ending() || other->held() <= least) continue;
+      most = other.get();
+      least = other->held();
+    }
+  }
+  counters_.add("hosts.no_memory");
+  most->end_later();
+}
+
 Fleet::Host* Fleet::ready_host(const std::string& id) {
   const auto found = hosts_.find(id);
   if (found != hosts_.end() && found->second.member.entry.state == WorkerState::ready) return &found->second;
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -21,6 +21,7 @@
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
   std::size_t longest_answer = 1U << 20;   // the body of one; a link holds at most one that is not whole yet
+  std::size_t incoming = 32U << 20;        // bytes of answers that are not whole yet, over all links
   std::vector<std::string> report_fields;  // in the order in which the module wants them
 };
 
@@ -31,6 +32,7 @@
   void attach(core::Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
 
   void members(const core::MemberList& list);
+  void bound(std::size_t links, std::size_t incoming);  // connections, and bytes of answers not whole yet
 
   void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
             Millis patience) override;
@@ -52,7 +54,7 @@
   core::Dispatcher* dispatcher_ = nullptr;
   std::map<std::string, Host> hosts_;
   std::map<core::Attempt, Link*> attempts_;
-  std::size_t links_ = 0;
+  std::size_t links_ = 0, incoming_ = 0;
   std::uint64_t last_tag_ = 0;
   Millis usual_answer_{0};  // moving average over all hosts
   double signs_left_ = 0;   // a token bucket, filled by what is sent
@@ -62,6 +64,7 @@
   void later(std::function<void()> tell);
   core::Report read_report(const std::string& text) const;
   void link_gone(Link& link);
+  void hold(Link& link, std::size_t before, std::size_t now);
   Millis quiet_most() const;
   void note_answer(Millis took);
   bool take_sign();
--- a/src/hosts/line_parser.h
+++ b/src/hosts/line_parser.h
@@ -19,6 +19,7 @@
 
   // Takes all bytes; whole replies are added to `out`. False once the stream cannot be understood any more.
   bool take(std::string_view bytes, std::vector<Reply>& out);
+  std::size_t held() const { return line_.size() + reply_.body.size(); }
   bool begun() const { return state_ == State::body || !line_.empty(); }  // a reply, and its rest has to come
 
  private:
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,77 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace lotusyard::membership {
+
+using core::WorkerState;
+
+core::Member Membership::state_of(const std::string& id, const Host& host) const {
+  core::Member state = host.listed;
+  if (out(id) && state.entry.state == WorkerState::ready) state.entry.state = WorkerState::draining;
+  // Danger: a host that was out may have started anew, and the list, seconds late, does not say so yet.
+  state.entry.started = std::max(state.entry.started, host.back);
+  return state;
+}
+
+void Membership::list(const core::MemberList& list, core::ListKind kind) {
+  core::MemberList states{list.complete, {}};
+  std::set<std::string> named;
+  for (const auto& member : list.members) {
+    const std::string& id = member.entry.worker;
+    Host& host = hosts_[id];
+    host.listed = member;
+    named.insert(id);
+    states.members.push_back(state_of(id, host));
+    if (member.entry.state == WorkerState::gone) forget_gone(id);
+  }
+  std::vector<std::string> left;
+  for (auto& [id, host] : hosts_) {
+    if (!list.complete || named.count(id) != 0 || host.listed.entry.state == WorkerState::gone) continue;
+    host.listed.entry.state = WorkerState::gone;
+    left.push_back(id);
+  }
+  for (const auto& id : left) forget_gone(id);
+  told_(states, kind);
+}
+
+// Bounds the table of hosts; the one place where it shrinks.
+void Membership::forget_gone(const std::string& id) {
+  gone_.push_back(id);
+  while (gone_.size() > gone_most) {
+    const auto oldest = hosts_.find(gone_.front());
+    const bool gone = oldest != hosts_.end() && oldest->second.listed.entry.state == WorkerState::gone;
+    const bool again = std::count(gone_.begin(), gone_.end(), gone_.front()) > 1;
+    if (gone && !again) hosts_.erase(oldest);
+    gone_.pop_front();
+  }
+}
+
+void Membership::tell(const std::string& id) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end() || found->second.listed.entry.state == WorkerState::gone) return;
+  told_({false, {state_of(id, found->second)}}, core::ListKind::delta);
+}
+
+void Membership::disable(const std::string& host) {
+  if (out_.insert(host).second) tell(host);
+}
+
+void Membership::enable(const std::string& host, core::Millis now) {
+  if (out_.erase(host) == 0) return;  // it was not out: it may be as warm as it likes
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end()) return;
+  found->second.back = now;
+  tell(host);
+}
+
+void Membership::follow(const std::set<std::string>& out, core::Millis now) {
+  const std::set<std::string> before = out_;
+  for (const auto& host : out) disable(host);
+  for (const auto& host : before) {
+    if (out.count(host) == 0) enable(host, now);
+  }
+}
+
+}  // namespace lotusyard::membership
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,48 @@
+// One state a host, out of the list and the operators' hand. Whoever hears of hosts tells it here; it tells
+// the hosts' part and the core what has become of them. No I/O; the time is passed in.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "core/member.h"
+
+namespace lotusyard::membership {
+
+class Membership {
+ public:
+  // What is told holds for calls and load orders from then on.
+  using Told = std::function<void(const core::MemberList&, core::ListKind)>;
+  explicit Membership(Told told) : told_(std::move(told)) {}
+
+  void list(const core::MemberList& list, core::ListKind kind);
+
+  bool known(const std::string& host) const { return hosts_.count(host) != 0 || out_.count(host) != 0; }
+  bool out(const std::string& host) const { return out_.count(host) != 0; }
+  const std::set<std::string>& out() const { return out_; }
+  void disable(const std::string& host);
+  void enable(const std::string& host, core::Millis now);
+  // Who is out as another process has it, in whole.
+  void follow(const std::set<std::string>& out, core::Millis now);
+
+ private:
+  // Hosts that are gone stay known for a while: one that is away for a short time can still be taken out.
+  static constexpr std::size_t gone_most = 1024;
+  struct Host {
+    core::Member listed;
+    core::Millis back{0};  // when the hand last put it back; it is cold from then on
+  };
+  Told told_;
+  std::map<std::string, Host> hosts_;
+  std::set<std::string> out_;  // also of hosts that no list names any more
+  std::deque<std::string> gone_;
+
+  core::Member state_of(const std::string& id, const Host& host) const;
+  void tell(const std::string& id);
+  void forget_gone(const std::string& id);
+};
+
+}  // namespace lotusyard::membership
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -16,7 +16,10 @@
   using Block = std::array<char, block_size>;
   struct GiveBack {
     BufferPool* pool;
-    void operator()(Block* block) const { pool->free_.emplace_back(block); }
+    void operator()(Block* block) const {
+      pool->free_.emplace_back(block);
+      if (pool->made_ > pool->most_) pool->drop_one();
+    }
   };
   using Lease = std::unique_ptr<Block, GiveBack>;
 
@@ -32,10 +35,21 @@
     return lease;
   }
   std::size_t out() const { return made_ - free_.size(); }
+  std::size_t held() const { return made_; }
+  // Fewer from now on: what is not out is given back at once, the rest as it comes back.
+  void bound(std::size_t most_blocks) {
+    most_ = most_blocks;
+    while (made_ > most_ && !free_.empty()) drop_one();
+  }
 
  private:
   std::size_t most_, made_ = 0;
   std::vector<std::unique_ptr<Block>> free_;
+
+  void drop_one() {
+    free_.pop_back();
+    --made_;
+  }
 };
 
 class Outbox {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -39,9 +39,12 @@
   // The one buffer that is read into; what was read is used up before the next read.
   BufferPool::Block& read_buffer() { return read_buffer_; }
 
-  void watch(int fd, Handler& handler, short events);  // again: changes the events
-  void forget(int fd, Handler& handler);               // before the descriptor is closed
-  void flush_later(Handler& handler);                  // at the end of this turn
+  // Whoever must be heard whatever the load is watched as urgent: such are served first in a turn, and again
+  // in between as often as the rest of the turn takes long.
+  enum class Rank { usual, urgent };
+  void watch(int fd, Handler& handler, short events, Rank rank = Rank::usual);  // again: changes the events
+  void forget(int fd, Handler& handler);  // before the descriptor is closed
+  void flush_later(Handler& handler);     // at the end of this turn
 
   TimerId at(Millis when, std::function<void()> ring);
   void cancel(const TimerId& id) { timers_.erase(id); }
@@ -57,6 +60,7 @@
   struct Entry {
     Handler* handler = nullptr;
     short events = 0;
+    Rank rank = Rank::usual;
     std::uint64_t serial = 0;  // tells a descriptor's user from the next one's
   };
   std::vector<Entry> by_fd_;
@@ -67,10 +71,11 @@
   std::vector<std::shared_ptr<void>> graves_;
   std::uint64_t serial_ = 0;
   double offset_ms_ = 0;
-  Millis turn_began_{0};
+  Millis turn_began_{0}, urgent_served_{0};
   BufferPool::Block read_buffer_;
 
   void flush();
+  void serve_urgent(bool at_once);
 };
 
 }  // namespace lotusyard::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -51,6 +51,22 @@
   return socket;
 }
 
+Socket adopt_listener(int fd) {
+  int listening = 0, type = 0, family = 0;
+  const auto read = [fd](int option, int& value) {
+    socklen_t size = sizeof value;
+    return getsockopt(fd, SOL_SOCKET, option, &value, &size) == 0;
+  };
+  if (!read(SO_ACCEPTCONN, listening) || !read(SO_TYPE, type) || !read(SO_DOMAIN, family)) return Socket();
+  if (listening == 0 || type != SOCK_STREAM || (family != AF_INET && family != AF_INET6)) return Socket();
+  // Danger: a connection that another process takes first would block an accept here.
+  const int flags = fcntl(fd, F_GETFL);
+  if (flags < 0 || fcntl(fd, F_SETFL, flags | O_NONBLOCK) != 0 || fcntl(fd, F_SETFD, FD_CLOEXEC) != 0) {
+    return Socket();
+  }
+  return Socket(fd);
+}
+
 Socket connect_to(const std::string& address) {
   const Addresses at = resolve(address, 0);
   if (!at) return Socket();
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -29,6 +29,8 @@
 
 // Numeric addresses only, as host:port or [host]:port. A failed call gives an empty Socket.
 Socket listen_on(const std::string& address);
+// A listening TCP socket that was inherited under this number, now non-blocking; empty if it is none.
+Socket adopt_listener(int fd);
 Socket connect_to(const std::string& address);  // under way: writable once it is decided
 // `exhausted` tells that no descriptor was to be had: the connection waits on.
 Socket accept_from(const Socket& listener, bool* exhausted = nullptr);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -7,24 +7,29 @@
 namespace lotusyard::net {
 namespace {
 
-constexpr int kReadsATurn = 8;  // one busy peer must not keep the others waiting
+constexpr int kReadsATurn = 8;   // one busy peer must not keep the others waiting
+constexpr Millis kLinger{1000};  // a peer that was told the end has closed by then
 
 }  // namespace
 
-Stream::Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting)
-    : loop_(loop), socket_(std::move(socket)), outbox_(pool), connecting_(connecting) {
+Stream::Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting, Loop::Rank rank)
+    : loop_(loop), socket_(std::move(socket)), outbox_(pool), rank_(rank), connecting_(connecting) {
   if (socket_) watch();
 }
 
-Stream::~Stream() { loop_.forget(socket_.fd(), *this); }
+Stream::~Stream() {
+  loop_.cancel(linger_);
+  loop_.forget(socket_.fd(), *this);
+}
 
 void Stream::watch() {
   const bool writes = connecting_ || !outbox_.empty();
-  loop_.watch(socket_.fd(), *this, static_cast<short>((connecting_ ? 0 : POLLIN) | (writes ? POLLOUT : 0)));
+  loop_.watch(socket_.fd(), *this, static_cast<short>((connecting_ ? 0 : POLLIN) | (writes ? POLLOUT : 0)),
+              rank_);
 }
 
 void Stream::write(std::string_view bytes) {
-  if (!socket_ || ending_) return;
+  if (ending()) return;
   // A stream with a gap cannot be understood: it ends.
   if (!outbox_.append(bytes)) return end_later();
   if (!connecting_) loop_.flush_later(*this);
@@ -38,6 +43,7 @@
     return false;
   }
   watch();
+  if (finishing_ && outbox_.empty()) tell_finished();
   return written == Outbox::Written::all;
 }
 
@@ -52,8 +58,22 @@
   loop_.flush_later(*this);
 }
 
+void Stream::finish_later() {
+  if (connecting_) return end_later();
+  if (ending()) return;
+  finishing_ = true;
+  loop_.flush_later(*this);
+}
+
+void Stream::tell_finished() {
+  if (std::exchange(told_, true)) return;
+  ::shutdown(socket_.fd(), SHUT_WR);
+  linger_ = loop_.at(loop_.now() + kLinger, [this] { end_later(); });
+}
+
 void Stream::end() {
   if (!socket_) return;
+  loop_.cancel(linger_);
   loop_.forget(socket_.fd(), *this);
   socket_.close();
   connecting_ = false;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -11,7 +11,7 @@
 
 class Stream : public Handler {
  public:
-  Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting);
+  Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting, Loop::Rank rank = Loop::Rank::usual);
   ~Stream() override;
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
@@ -19,9 +19,12 @@
   void write(std::string_view bytes);  // goes out at the end of the turn
   bool flush_now();                    // false if some bytes must wait or the stream ends
   void end_later();                    // ends it from the loop, for callers that `ended` must not interrupt
+  // What was written goes out, then the peer hears that no more comes; what it still sends is read for a
+  // while. Guards against a reset, which would take what the peer has not read yet.
+  void finish_later();
   bool open() const { return static_cast<bool>(socket_) && !connecting_; }
   bool connecting() const { return static_cast<bool>(socket_) && connecting_; }
-  bool ending() const { return ending_ || !socket_; }  // nothing written now would go out
+  bool ending() const { return ending_ || finishing_ || !socket_; }  // nothing written now would go out
   const Outbox& outbox() const { return outbox_; }
 
   void ready(short events) final;
@@ -38,9 +41,12 @@
   Loop& loop_;
   Socket socket_;
   Outbox outbox_;
-  bool connecting_ = false, ending_ = false;
+  Loop::Rank rank_;
+  bool connecting_ = false, ending_ = false, finishing_ = false, told_ = false;
+  Loop::TimerId linger_{};
 
   void watch();
+  void tell_finished();
   void read();
 };
 
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -32,6 +32,7 @@
   std::size_t faults = 0;
 
   bool idle() const { return open_calls.empty() && outbox().empty(); }
+  bool at_rest() const { return asked && idle() && !parser_.begun() && !ending(); }
 
  private:
   Front& front_;
@@ -89,9 +90,23 @@
 Front::~Front() { stop_listening(); }
 
 bool Front::listen(const std::string& address) {
-  listener_ = net::listen_on(address);
+  listen(net::listen_on(address));
+  return listening();
+}
+
+void Front::listen(net::Socket listener) {
+  listener_ = std::move(listener);
   if (listener_) loop_.watch(listener_.fd(), *this, POLLIN);
-  return static_cast<bool>(listener_);
+}
+
+bool Front::hand_over() {
+  stop_listening();
+  for (const auto& client : std::vector<std::shared_ptr<Client>>(clients_.begin(), clients_.end())) {
+    if (!client->at_rest()) continue;
+    client->ready(POLLIN);  // a request that has come by now is served
+    if (client->at_rest()) client->finish_later();
+  }
+  return clients_.empty() && newcomers_.empty();
 }
 
 void Front::stop_listening() {
@@ -189,6 +204,10 @@
     counters_.add("resp.tag_repeated");  // two answers under one tag could not be told apart
     return client.end_later();
   }
+  if (!takes_) {
+    counters_.add("resp.handed_over");
+    return say(client, tag, core::Verdict::refused, core::Millis(0), {});
+  }
   if (client.open_calls.size() >= limits_.calls_a_client) {
     return reject(client, tag, "resp.too_many_open", core::Verdict::refused);
   }
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -27,9 +27,17 @@
   ~Front() override;
 
   bool listen(const std::string& address);
+  void listen(net::Socket listener);  // one that was inherited, and is never shut down
+  bool listening() const { return static_cast<bool>(listener_); }
   std::string address() const { return net::bound_address(listener_); }
   void drain() { draining_ = true; }  // CHECK says DOWN from now on; calls are still taken
   void stop_listening();
+  // Another process takes clients now: none are accepted here, and each connection ends once nothing is open
+  // on it. To be called again in each turn; true once all have ended.
+  bool hand_over();
+  // New calls are refused, so that what is open on a busy connection comes to its end.
+  void take_no_more() { takes_ = false; }
+  void bound(const Limits& limits) { limits_ = limits; }
   std::size_t open_calls() const { return by_call_.size(); }
   bool written() const;  // nothing waits to be written
 
@@ -52,7 +60,7 @@
   Clients clients_, newcomers_;  // the one longest unheard first
   std::unordered_map<core::CallId, Filed> by_call_;
   std::size_t bodies_ = 0;
-  bool draining_ = false, paused_ = false;
+  bool draining_ = false, paused_ = false, takes_ = true;
 
   void ready(short events) override;
   bool promote(Client& client);
--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -23,7 +23,7 @@
 }
 std::string fault_of(const json& file) {
   try {
-    config::read_config(file, "", "");
+    config::read_config(file, {});
   } catch (const config::ConfigError& fault) { return fault.what(); }
   return {};
 }
--- /dev/null
+++ b/tests/lotusyard/membership_test.cpp
@@ -0,0 +1,190 @@
+// Hosts out by hand: one state out of list and hand, and its files.
+#include "membership/membership.h"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "helper.h"
+#include "membership/out_files.h"
+
+namespace lotusyard::test {
+namespace {
+
+using core::WorkerState;
+using membership::Membership;
+using membership::OutFiles;
+
+struct Folder {  // a new one for each test
+  std::string path;
+  Folder() {
+    char name[] = "/tmp/lotusyard-test-XXXXXX";
+    REQUIRE(mkdtemp(name) != nullptr);
+    path = name;
+  }
+  ~Folder() { REQUIRE(std::system(("chmod -R u+w " + path + " && rm -rf " + path).c_str()) == 0); }
+};
+
+core::Member member(const std::string& id, WorkerState state, double started = 0) {
+  core::Member out;
+  out.entry.worker = id;
+  out.entry.state = state;
+  out.entry.started = Millis(started);
+  out.address = "127.0.0.1:1";
+  return out;
+}
+
+struct Seen {  // what hosts and core would believe
+  std::map<std::string, core::WorkerEntry> hosts;
+  int tellings = 0;
+  Membership membership{[this](const core::MemberList& list, core::ListKind) {
+    ++tellings;
+    std::set<std::string> named;
+    for (const auto& m : list.members) {
+      hosts[m.entry.worker] = m.entry;
+      named.insert(m.entry.worker);
+    }
+    for (auto& [id, entry] : hosts) {
+      if (list.complete && named.count(id) == 0) entry.state = WorkerState::gone;
+    }
+  }};
+};
+
+TEST_CASE("a host out by hand is draining whatever the list says, till one call puts it back, cold") {
+  Seen seen;
+  seen.membership.list({true, {member("a", WorkerState::ready, 5), member("b", WorkerState::ready)}},
+                       core::ListKind::cached);
+  CHECK_FALSE(seen.membership.known("c"));
+  seen.membership.disable("a");
+  const int told = seen.tellings;
+  seen.membership.disable("a");
+  CHECK(seen.tellings == told);  // twice is once
+  CHECK(seen.hosts["a"].state == WorkerState::draining);
+  seen.membership.list({false, {member("a", WorkerState::ready, 900)}}, core::ListKind::delta);
+  seen.membership.list({true, {member("a", WorkerState::ready, 900)}}, core::ListKind::full);
+  CHECK(seen.hosts["a"].state == WorkerState::draining);
+  CHECK(seen.hosts["b"].state == WorkerState::gone);
+  seen.membership.enable("a", Millis(2000));
+  CHECK((seen.hosts["a"].state == WorkerState::ready && seen.hosts["a"].started == Millis(2000)));
+  seen.membership.enable("a", Millis(3000));  // it was not out
+  seen.membership.list({false, {member("a", WorkerState::ready, 900)}}, core::ListKind::delta);
+  CHECK(seen.hosts["a"].started == Millis(2000));  // the list does not know of its new start yet
+  seen.membership.list({false, {member("a", WorkerState::ready, 4000)}}, core::ListKind::delta);
+  CHECK(seen.hosts["a"].started == Millis(4000));
+}
+
+TEST_CASE("a host that is out and has left the list stays known, and out when it comes back") {
+  Seen seen;
+  seen.membership.list({true, {member("a", WorkerState::ready)}}, core::ListKind::cached);
+  seen.membership.disable("a");
+  seen.membership.list({false, {member("a", WorkerState::gone)}}, core::ListKind::delta);
+  for (int i = 0; i < 3000; ++i) {  // long after, thousands of others have come and gone
+    const std::string id = "x" + std::to_string(i);
+    seen.membership.list({false, {member(id, WorkerState::ready)}}, core::ListKind::delta);
+    seen.membership.list({false, {member(id, WorkerState::gone)}}, core::ListKind::delta);
+  }
+  CHECK_FALSE(seen.membership.known("x0"));
+  CHECK(seen.membership.known("x2999"));
+  CHECK(seen.membership.known("a"));
+  seen.membership.list({false, {member("a", WorkerState::ready, 70)}}, core::ListKind::delta);
+  CHECK(seen.hosts["a"].state == WorkerState::draining);
+  seen.membership.enable("a", Millis(90));
+  CHECK(seen.hosts["a"].state == WorkerState::ready);
+}
+
+// Random series of list events, calls at either of two processes, restarts and kills, against the plain rule:
+// out is who was called out last and not back since; ready is who the list says is ready and is not out.
+TEST_CASE("whatever happens in whatever order, both processes agree on who is out") {
+  Random random(11);
+  for (int round = 0; round < 60; ++round) {
+    const Folder folder;
+    std::map<std::string, core::Member> listed;
+    std::set<std::string> out;
+    std::vector<std::unique_ptr<Seen>> process(2);
+    const auto start = [&](std::unique_ptr<Seen>& one) {
+      one = std::make_unique<Seen>();
+      one->membership.follow(*OutFiles(folder.path + "/out").read(), Millis(0));
+      core::MemberList all{true, {}};
+      for (const auto& [id, m] : listed) all.members.push_back(m);
+      one->membership.list(all, core::ListKind::cached);
+    };
+    for (auto& one : process) start(one);
+    for (int step = 1; step <= 120; ++step) {
+      const Millis now(1000.0 * step);
+      const std::string id(1, static_cast<char>('a' + below(random, 5)));
+      auto& one = *process[below(random, 2)];
+      OutFiles files(folder.path + "/out");
+      switch (below(random, 6)) {
+        case 0:
+        case 1: {
+          const auto state = static_cast<WorkerState>(below(random, 3));
+          listed[id] = member(id, state, below(random, 2) == 0 ? 0 : now.count());
+          for (auto& p : process) p->membership.list({false, {listed[id]}}, core::ListKind::delta);
+          break;
+        }
+        case 2:  // the call out, killed at times between the file and the memory
+          if (!one.membership.known(id)) break;
+          REQUIRE(files.add(id));
+          out.insert(id);
+          if (below(random, 4) == 0) {
+            start(process[0]);
+          } else {
+            one.membership.disable(id);
+          }
+          break;
+        case 3:
+          if (!one.membership.known(id)) break;
+          REQUIRE(files.remove(id));
+          out.erase(id);
+          if (below(random, 4) == 0) {
+            start(process[1]);
+          } else {
+            one.membership.enable(id, now);
+          }
+          break;
+        case 4: start(process[below(random, 2)]); break;  // it is replaced
+        default: break;
+      }
+      for (auto& p : process) p->membership.follow(*files.read(), now);
+      for (const auto& p : process) {
+        REQUIRE(p->membership.out() == out);
+        for (const auto& [host_id, m] : listed) {
+          const bool ready = m.entry.state == WorkerState::ready && out.count(host_id) == 0;
+          REQUIRE((p->hosts[host_id].state == WorkerState::ready) == ready);
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("any id has a file of its own name, and no other file is taken for one") {
+  Random random(12);
+  for (int i = 0; i < 2000; ++i) {
+    std::string id = garbage(random, "s-0./%_Az").substr(0, 60);
+    if (id.empty()) continue;
+    const std::string name = OutFiles::file_name(id);
+    CHECK(name.find('/') == std::string::npos);
+    CHECK((name != "." && name != ".."));
+    CHECK(OutFiles::host_name(name) == id);
+  }
+  for (const char* other : {".", "..", "a.tmp", "%2", "%zz", "%41", ""})
+    CHECK_FALSE(OutFiles::host_name(other));
+  CHECK(OutFiles::file_name(std::string(300, 'a')).empty());
+}
+
+TEST_CASE("what cannot be kept is refused") {
+  OutFiles nowhere("");
+  CHECK_FALSE(nowhere.add("a"));
+  CHECK_FALSE(nowhere.read());
+  const Folder folder;
+  OutFiles missing(folder.path + "/not/there");  // the folder above it is missing
+  CHECK_FALSE(missing.add("a"));
+  const std::string file = folder.path + "/file";
+  REQUIRE(OutFiles(folder.path).add("file"));
+  OutFiles under(file);  // a file stands where the folder should
+  CHECK_FALSE(under.add("a"));
+  CHECK_FALSE(under.remove("a"));
+  CHECK_FALSE(under.read());
+}
+
+}  // namespace
+}  // namespace lotusyard::test
