--- a/include/robinfold/policy.h
+++ b/include/robinfold/policy.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -35,6 +36,11 @@
   Millis key_window{0}, aim{0}, deadline{0};
   double aim_stretch = 0, worth = 1, late_worth = 0;
   bool stream = false;
+  bool operator==(const ClassSettings& o) const {
+    return std::tie(name, semantics, scope, key_window, aim, deadline, aim_stretch, worth, late_worth, stream) ==
+           std::tie(o.name, o.semantics, o.scope, o.key_window, o.aim, o.deadline, o.aim_stretch, o.worth,
+                    o.late_worth, o.stream);
+  }
 };
 struct TenantSettings {
   std::string name;
@@ -76,6 +82,10 @@
   Settings settings;
 };
 struct Stop {};
+// The settings have changed. Requests that are open keep the rules under which they came.
+struct Retune {
+  Settings settings;
+};
 struct List {
   ListKind kind = ListKind::full;
   std::vector<WorkerEntry> entries;
@@ -129,7 +139,7 @@
 };
 }  // namespace event
 using Event =
-    std::variant<event::Start, event::Stop, event::List, event::Request, event::StreamBegan, event::Answer,
+    std::variant<event::Start, event::Stop, event::Retune, event::List, event::Request, event::StreamBegan, event::Answer,
                  event::Left, event::Timer, event::Probed, event::Loaded, event::Peer>;
 
 namespace action {
--- a/src/amqp/front.h
+++ b/src/amqp/front.h
@@ -27,6 +27,7 @@
   ~Front() override;
 
   void start() { connect(); }
+  void retune(const core::Settings& settings) { settings_ = settings; }
   void drain();       // nothing new; what was taken is answered
   bool done() const;  // all answers that can be given on this connection are confirmed
   void close();
@@ -50,7 +51,7 @@
   net::BufferPool& pool_;
   core::Dispatcher& dispatcher_;
   core::Counters& counters_;
-  core::Settings settings_;
+  core::Settings settings_;  // for what is read from now on
   Broker broker_;
   Limits limits_;
   Memory memory_;
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iostream>
 
+#include "config/replacement.h"
+
 namespace lotusyard {
 namespace {
 
@@ -18,11 +20,32 @@
 constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
 constexpr Millis kTurnMost{20};   // while it ends
 
-std::shared_ptr<const config::Config> read_file(const std::string& file) {
+nlohmann::json read_file(const std::string& file) {
   if (file.empty())
     throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
-  return std::make_shared<const config::Config>(
-      config::read_config(config::read_json_file(file), read_environment()));
+  return config::read_json_file(file);
+}
+std::shared_ptr<config::Config> read(const nlohmann::json& file) {
+  return std::make_shared<config::Config>(config::read_config(file, read_environment()));
+}
+
+// What a running program cannot change stays as it was at the start; the names of what differs.
+std::string keep_what_needs_a_start(const config::Config& now, config::Config& next) {
+  std::string differs;
+  const auto keep = [&differs](const char* name, const auto& from, auto& to) {
+    if (from == to) return;
+    differs += (differs.empty() ? "" : ", ") + std::string(name);
+    to = from;
+  };
+  keep("name", now.name, next.name);
+  keep("listen", now.listen, next.listen);
+  keep("console", now.console, next.console);
+  keep("limits.memory_mb", now.memory_mb, next.memory_mb);
+  keep("limits.sockets", now.sockets, next.sockets);
+  keep("seed", now.seed, next.seed);
+  next.settings.seed = now.settings.seed;
+  next.amqp = now.amqp;
+  return differs;
 }
 
 std::string folder_of(const config::Config& config) {
@@ -66,7 +89,8 @@
 Invoker::Invoker(std::string file, const StoreMaker& make_store)
     : file_(std::move(file)),
       signals_(loop_),  // first: no signal may end the program while it starts
-      config_(read_file(file_)),
+      outline_(read_file(file_)),
+      config_(read(outline_)),
       folder_(folder_of(*config_)),
       presence_(replaces() ? folder_ : std::string()),
       standing_(presence_.other_lives() ? Standing::beside : Standing::alone),
@@ -83,6 +107,7 @@
       }),
       front_(loop_, pool_, dispatcher_, counters_, front_limits()) {
   fleet_.attach(dispatcher_);
+  outline_ = config::outline(std::move(outline_));
   if (!folder_.empty()) look();  // before any host is named: none may be used that is out
   follow_list();
   listen();
@@ -189,16 +214,24 @@
   counters_.add("takeover.changes");
 }
 
-// The file is read whole and checked; only then is the list of hosts followed to where it says.
+// The file is read whole and checked, and only then taken, whole. A fault leaves everything as it is.
 void Invoker::reread() {
   try {
-    const auto next = read_file(file_);
+    const auto file = read_file(file_);
+    config::check_replacement(outline_, file);
+    const auto next = read(file);
     if (next->xds.has_value() != config_->xds.has_value())
       throw config::ConfigError("configuration: xds: can be added or removed at a start only");
     std::string fault;
     if (host_file_ && !host_file_->move(next->xds->file, next->xds->cluster, fault))
       throw config::ConfigError("configuration: xds.file: " + fault);
     if (feed_) feed_->move(next->changelog);
+    const std::string differs = keep_what_needs_a_start(*config_, *next);
+    if (!differs.empty()) std::cerr << "lotusyard: hold from the next start: " << differs << std::endl;
+    config_ = next;
+    outline_ = config::outline(file);
+    dispatcher_.retune(next->settings);
+    if (triggers_) triggers_->retune(next->settings);
     counters_.add("config.reread");
   } catch (const std::exception& fault) {
     counters_.add("config.faulty");  // the old one goes on
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -33,6 +33,7 @@
   const std::string file_;
   net::Loop loop_;
   Signals signals_;
+  nlohmann::json outline_;  // of the file that is followed
   std::shared_ptr<const config::Config> config_;
   const std::string folder_;  // what outlives this process; empty: nothing does
   core::Counters counters_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <fstream>
 #include <random>
 
@@ -197,7 +198,10 @@
     if (c.name.empty() || c.name.find_first_of(" ,=\r\n") != std::string::npos) {
       fault("settings.Classes[].Name", "a word without blanks, commas and equals signs is needed");
     }
-    if (!(c.deadline.count() > 0)) fault(path + ".HardLimit", "must be above 0");
+    if (!(c.deadline.count() > 0)) fault(path + ".HardLimit", "must be a number above 0");
+    const auto same = [&](const robinfold::ClassSettings& other) { return other.name == c.name; };
+    const auto& all = config.settings.classes;
+    if (std::count_if(all.begin(), all.end(), same) > 1) fault(path, "stands twice");
   }
 }
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const Settings& settings, Clock clock, Hosts& hosts, Counters& counters)
-    : settings_(settings),
+    : settings_(std::make_shared<const Settings>(settings)),
       clock_(std::move(clock)),
       hosts_(hosts),
       counters_(counters),
@@ -33,16 +33,16 @@
   const auto named = [](const std::string& name) {
     return [&name](const auto& entry) { return entry.name == name; };
   };
-  const auto& classes = settings_.classes;
+  const auto& classes = settings_->classes;
   const auto cls = std::find_if(classes.begin(), classes.end(), named(call.class_name));
   if (cls == classes.end()) return "calls.unknown_class";
-  const auto& tenants = settings_.tenants;
+  const auto& tenants = settings_->tenants;
   if (!call.tenant.empty() && !tenants.empty() &&
       std::none_of(tenants.begin(), tenants.end(), named(call.tenant))) {
     return "calls.unknown_tenant";
   }
-  double most_mb = settings_.kind_memory_mb.empty() ? kMostMemoryMb : 0;
-  for (const auto& [kind, megabytes] : settings_.kind_memory_mb) most_mb = std::max(most_mb, megabytes);
+  double most_mb = settings_->kind_memory_mb.empty() ? kMostMemoryMb : 0;
+  for (const auto& [kind, megabytes] : settings_->kind_memory_mb) most_mb = std::max(most_mb, megabytes);
   if (!(call.memory_mb >= 0 && call.memory_mb <= most_mb)) return "calls.bad_figures";
   if (call.lanes < 1 || call.lanes > kMostLanes) return "calls.bad_figures";
   // A client's patience is at most its class's; a millisecond for rounding.
@@ -74,7 +74,8 @@
   Open& open = calls_[id];
   open.call = std::move(call);
   open.front = &front;
-  for (const auto& c : settings_.classes) {
+  open.rules = settings_;
+  for (const auto& c : open.rules->classes) {
     if (c.name == open.call.class_name) open.once = c.semantics == robinfold::Semantics::once;
   }
   due_.push({open.call.arrived + open.call.allow + kOverdue, id, -1});
@@ -130,6 +131,11 @@
 void Dispatcher::probe_ended(ProbeOutcome&& end) { run(module_.report(clock_(), end)); }
 void Dispatcher::members(HostList&& list) { run(module_.report(clock_(), list)); }
 
+void Dispatcher::retune(const Settings& settings) {
+  settings_ = std::make_shared<const Settings>(settings);
+  run(module_.report(clock_(), NewSettings{settings}));
+}
+
 void Dispatcher::tick() {
   const Millis now = clock_();
   run(module_.tick(now));
@@ -178,7 +184,7 @@
   const Millis now = clock_(), left = open->call.arrived + open->call.allow - now;
   const Millis patience = step.patience.count() > 0 ? std::min(step.patience, left) : left;
   const bool again = open->once && open->may_have_run;
-  if (open->out || again || attempt.number >= settings_.max_attempts || patience.count() < 1) {
+  if (open->out || again || attempt.number >= open->rules->max_attempts || patience.count() < 1) {
     counters_.add("guard.send_stopped");
     const bool other_out = open->out.has_value();
     if (!other_out) finish(step.call, Answer{});
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <queue>
 #include <unordered_map>
@@ -29,6 +30,7 @@
   void load_ended(LoadOutcome&& end);
   void probe_ended(ProbeOutcome&& end);
   void members(HostList&& list);
+  void retune(const Settings& settings);  // open calls keep the rules under which they were taken
 
   void tick();
   Millis next_due() const;
@@ -43,6 +45,7 @@
   struct Open {
     Call call;
     Front* front = nullptr;
+    std::shared_ptr<const Settings> rules;
     bool once = true, may_have_run = false;
     int attempts = 0;
     std::optional<Out> out;
@@ -56,7 +59,7 @@
     }
   };
 
-  Settings settings_;
+  std::shared_ptr<const Settings> settings_;
   Clock clock_;
   Hosts& hosts_;
   Counters& counters_;
--- a/src/core/module.cpp
+++ b/src/core/module.cpp
@@ -27,6 +27,7 @@
   return event::Probed{o.host, o.outcome, o.elapsed, o.report};
 }
 robinfold::Event event_of(const CallLeft& o) { return event::Left{std::to_string(o.call)}; }
+robinfold::Event event_of(const NewSettings& o) { return event::Retune{o.settings}; }
 robinfold::Event event_of(const HostList& o) { return event::List{o.kind, o.entries}; }
 
 CallId call_of(const std::string& id) { return std::stoull(id); }  // ids are ours: see pick
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -71,7 +71,10 @@
   ListKind kind = ListKind::full;
   std::vector<WorkerEntry> entries;
 };
-using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList>;
+struct NewSettings {  // calls that are open keep their rules
+  Settings settings;
+};
+using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList, NewSettings>;
 
 class Module {
  public:
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -3,6 +3,7 @@
 #include "robinfold/policy.h"
 
 #include "average.h"
+#include "places.h"
 
 #include <algorithm>
 #include <cmath>
@@ -98,12 +99,10 @@
   Millis limit_moved{kNever}, heard{kNever}, answered{kNever}, full_until{kNever}, stretch_at{kNever};
   Millis died{kNever}, cold_filled{kNever}, waiting_at{kNever}, gone{kNever};
   std::uint64_t hash = 0;
-  int inflight = 0, listed = 0;
-  Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
+  int inflight = 0, listed = 0, probes_lost = 0;  // probes_lost: on end, since it was doubted
+  Millis held_at{kNever}, doubted{kNever};  // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
-  int probes_lost = 0;  // since that
   double limit = kLimitFirst, waiting = 0, stretch = 1, cold_tokens = 0, held = 0;  // held: as reported
-  Millis held_at{kNever};
   std::vector<Health> classes;
 };
 struct ClassRecord {
@@ -122,7 +121,7 @@
 struct Request {
   std::string id;
   std::uint64_t serial = 0;
-  int cls = -1;
+  int cls = -1, max_attempts = 1;
   Function* function = nullptr;
   Millis deadline{0}, aim_at{0};
   bool done = false, streaming = false;
@@ -156,10 +155,10 @@
   std::unordered_map<std::uint64_t, Function*> function_index_;
   std::map<std::uint64_t, Request> requests_;
   std::unordered_map<std::string, std::uint64_t> request_index_;
-  double longest_wait_ = 1e9;  // the shortest aim of all classes
+  double longest_wait_ = 1e9, mean_held_ = 0;  // the shortest aim of all classes; of all reports of late
   std::vector<ClassRecord> classes_;  // by slot
+  std::map<std::string, int> class_index_;  // of the classes that new requests may name
   Average any_run_, any_load_;
-  double mean_held_ = 0;        // of all reports of late
   double held_ = 0, busy_ = 0;  // EWMAs of one gain: calls that workers told of, and their weight then busy
   std::uint64_t next_serial_ = 1;
   std::deque<Millis> taken_, ordered_;  // for the load ration
@@ -330,11 +329,8 @@
   }
 
   void on(const event::List& e) {
-    if (!live_) return;
-    if (e.kind == ListKind::failed) {
-      watch_at_ = now_ + kEjectFirst;
-      return;
-    }
+    if (e.kind == ListKind::failed) watch_at_ = now_ + kEjectFirst;
+    if (!live_ || e.kind == ListKind::failed) return;
     ++list_version_;
     for (const auto& entry : e.entries) {
       const bool reused = !free_places_.empty();
@@ -480,9 +476,7 @@
     return run_of(f) + load_of(f) * (k + 1) / e;
   }
   Copy* find_copy(Function& f, int index) {
-    for (auto& c : f.copies) {
-      if (c.worker == index) return &c;
-    }
+    for (auto& c : f.copies) { if (c.worker == index) return &c; }
     return nullptr;
   }
   Copy& copy_at(Function& f, int index) {
@@ -548,9 +542,7 @@
   }
   void pump_all() {
     std::multimap<double, Function*> held;
-    for (auto& f : functions_) {
-      if (!f->queue.empty()) held.emplace(weight_to_load(*f), f.get());
-    }
+    for (auto& f : functions_) { if (!f->queue.empty()) held.emplace(weight_to_load(*f), f.get()); }
     for (auto& [weight, f] : held) consider(*f);
   }
   void consider(Function& f) {
@@ -639,8 +631,7 @@
   bool has_room(const Worker& w) const { return w.inflight < w.limit && now_ >= w.full_until; }
   bool may_send(const Request& r, Worker& w) {
     if (r.done || r.streaming || now_ >= r.deadline) return false;
-    if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
-    if (!s_.second_copies && r.out()) return false;
+    if (static_cast<int>(r.attempts.size()) >= r.max_attempts || (!s_.second_copies && r.out())) return false;
     return usable(w) && serves(w, r.cls) && may_repeat(r, &w) && may_warm(r, w);
   }
   // Rule 4. A cold worker is sent the stated multiple of its present share of what this router gets served by
@@ -730,9 +721,8 @@
     Request& r = requests_[next_serial_];
     r.id = e.id;
     r.serial = request_index_[e.id] = next_serial_++;
-    for (std::size_t i = 0; i < s_.classes.size(); ++i) {
-      if (s_.classes[i].name == e.class_name) r.cls = static_cast<int>(i);
-    }
+    if (const auto c = class_index_.find(e.class_name); c != class_index_.end()) r.cls = c->second;
+    r.max_attempts = s_.max_attempts;
     r.function = &function_of(e, r.cls);
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
@@ -773,9 +763,8 @@
 
   void on(const event::Answer& e) {
     Request* found = find_request(e.id);
-    if (found == nullptr) return;
+    if (found == nullptr || e.attempt < 0 || e.attempt >= static_cast<int>(found->attempts.size())) return;
     Request& r = *found;
-    if (e.attempt < 0 || e.attempt >= static_cast<int>(r.attempts.size())) return;
     Attempt& a = r.attempts[static_cast<std::size_t>(e.attempt)];
     if (a.state != AttemptState::out) return;
     a.state = proves_never_ran(e.outcome) ? AttemptState::never_ran : AttemptState::may_have_run;
@@ -850,16 +839,13 @@
   static void drift(double& base, double run, double most) {  // most: of the first
     base = std::min(base > 0 ? base * kBaseDrift : most, run);
   }
-  void end_load(Copy& c) {
-    loads_out_ -= c.loading;
-    c.loading = 0;
-  }
+  void end_load(Copy& c) { loads_out_ -= std::exchange(c.loading, 0); }
   void note_load(Function& f, double ms) {
     f.load.add(ms, kLoadGain, kOutlier);
     any_load_.add(ms, kLoadGain / 4, kOutlier);
   }
   void try_again(Request& r) {
-    const bool spent = static_cast<int>(r.attempts.size()) >= s_.max_attempts;
+    const bool spent = static_cast<int>(r.attempts.size()) >= r.max_attempts;
     const auto fit = [&](const Worker& w) { return may_repeat(r, &w); };
     const bool any = std::any_of(workers_.begin(), workers_.end(), fit);
     if (spent || (!any && !may_repeat(r, nullptr)) || !worth_holding(r)) return give_up(r);
@@ -898,9 +884,7 @@
     finish(*r);
   }
   void on(const event::Peer&) {}  // routers do not talk
-  void on(const event::StreamBegan& e) {
-    if (Request* r = find_request(e.id)) r->streaming = true;
-  }
+  void on(const event::StreamBegan& e) { if (Request* r = find_request(e.id)) r->streaming = true; }
 
   // ---- Event dispatch ----------------------------------------------------------------------------------
   void on(const event::Start& e) {
@@ -908,35 +892,52 @@
     fresh.out_ = out_;
     fresh.now_ = now_;
     *this = std::move(fresh);
-    s_ = e.settings;
-    s_.routers = std::max(s_.routers, 1);
     live_ = true;
-    random_.seed(s_.seed);
+    random_.seed(e.settings.seed);
+    on(event::Retune{e.settings});
+    if (s_.ask_list) act(action::Watch{true});
+    act(action::SetTimer{kSweep, 0});
+  }
+  // Danger: requests that are open go by the rules they came under: a class that changes gets a new place.
+  void on(const event::Retune& e) {
+    std::vector<bool> used(s_.classes.size() + 1);
+    for (const auto& [serial, r] : requests_) used[slot(r.cls)] = true;
+    used.erase(used.begin());
+    Settings next = e.settings;
+    next.classes = std::move(s_.classes);
+    next.routers = std::max(next.routers, 1);
+    const std::vector<int> places = settle(next.classes, e.settings.classes, used);
+    s_ = std::move(next);
     classes_.resize(s_.classes.size() + 1);
-    for (std::size_t i = 0; shared() && i < s_.classes.size(); ++i) {
+    for (auto& w : workers_) w.classes.resize(classes_.size());
+    longest_wait_ = 1e9;
+    const auto before = std::exchange(class_index_, {});
+    for (std::size_t i = 0; i < places.size(); ++i) {
+      const ClassSettings& c = e.settings.classes[i];
+      if (c.aim.count() > 0) longest_wait_ = std::min(longest_wait_, c.aim.count());
+      class_index_[c.name] = places[i];
+      const auto same = before.find(c.name);
+      if (same != before.end() && same->second == places[i]) continue;
+      for (auto& w : workers_) w.classes[slot(places[i])] = Health();
+      ClassRecord& record = classes_[slot(places[i])];
+      record = same != before.end() ? classes_[slot(same->second)] : ClassRecord();
       // Danger: a router with few answers takes the first, slow for a load or a queue, for the usual, holds
       // every aim for missed and refuses all that is not at once warm. An aim tells about what a run takes.
-      ClassRecord& record = classes_[i + 1];
-      record.base = s_.classes[i].aim.count() / kAimRuns;
-      if (record.base > 0) record.run = {record.base, kAimSamples};
-    }
-    for (const auto& c : s_.classes) {
-      if (c.aim.count() > 0) longest_wait_ = std::min(longest_wait_, c.aim.count());
+      if (!shared() || record.run.known() || c.aim.count() <= 0) continue;
+      record.base = c.aim.count() / kAimRuns;
+      record.run = {record.base, kAimSamples};
     }
     reports_queue_ = std::count(s_.report_fields.begin(), s_.report_fields.end(), ReportField::queue) > 0;
-    if (s_.ask_list) act(action::Watch{true});
-    act(action::SetTimer{kSweep, 0});
   }
   void on(const event::Probed& e) {
     Worker* w = find_worker(e.worker);
     if (!live_ || w == nullptr) return;
     const Millis asked = w->doubted;
-    const bool doubted = asked > kNever;
     w->doubted = kNever;
     if (e.outcome == Outcome::ok) {
       note_alive(*w);
       read_report(*w, e.report);
-    } else if (doubted && e.outcome != Outcome::timeout) {
+    } else if (asked > kNever && e.outcome != Outcome::timeout) {
       // Danger: new connections are reset as well; what has answered meanwhile runs.
       if (w->answered > asked) return;
       if (++w->probes_lost < kProbesLost) return ask(*w);
@@ -969,9 +970,8 @@
   // Danger: a silent worker answers nothing till the deadline. A call out far too long is a failure at once.
   void find_lost() {
     for (auto& [serial, r] : requests_) {
-      if (r.done || r.streaming || r.attempts.empty()) continue;
+      if (r.done || r.streaming || !r.out()) continue;
       Attempt& a = r.attempts.back();
-      if (a.state != AttemptState::out) continue;
       Worker& w = at(a.worker);
       // Danger: a copy believed by agreement may be loading still; its calls are slow, not lost.
       const double load = copy_at(*r.function, a.worker).proven ? 0 : load_of(*r.function) * kPatience;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -261,10 +261,15 @@
 void Front::reject(Client& client, const std::string& tag, const char* why, core::Verdict verdict) {
   counters_.add(why);
   say(client, tag, verdict, core::Millis(0), {});
-  if (++client.faults <= kFaultsMost) return;
+  ++client.faults;
+  close_if_spent(client);
+}
+
+// Not before its sound calls have their answers: they are owed them whatever else came.
+void Front::close_if_spent(Client& client) {
+  if (client.faults <= kFaultsMost || !client.open_calls.empty() || client.ending()) return;
   counters_.add("resp.faults_closed");
-  client.flush_now();
-  client.end_later();
+  client.finish_later();
 }
 
 void Front::say(Client& client, const std::string& tag, core::Verdict verdict, core::Millis cooldown,
@@ -294,6 +299,7 @@
   const Filed filed = found->second;
   unfile(call);
   say(*filed.client, filed.tag, answer.verdict, answer.cooldown, answer.body);
+  close_if_spent(*filed.client);
 }
 
 void Front::unfile(core::CallId call) {
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -74,6 +74,7 @@
   void say(Client& client, const std::string& tag, core::Verdict verdict, core::Millis cooldown,
            std::string_view body);
   void unfile(core::CallId call);
+  void close_if_spent(Client& client);
   void gone(Client& client);
 };
 
--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 
+#include "config/replacement.h"
 #include "helper.h"
 #include "xds/hosts.h"
 
@@ -149,5 +150,81 @@
   std::remove(path);
 }
 
+// What SIGHUP would say of a file that takes the place of a running one; empty: it is taken.
+std::string fault_of_next(const json& running, const json& next) {
+  try {
+    config::check_replacement(config::outline(running), next);
+    config::read_config(next, {});
+  } catch (const config::ConfigError& fault) { return fault.what(); }
+  return {};
+}
+
+TEST_CASE("a file that lacks any key of the running one, or holds another type there, is turned down") {
+  json running = good();
+  running["settings"]["Tenants"] =
+      json::parse(R"([{"Name":"a","Share":0.5},{"Name":"b","Share":1,"Odd":2}])");
+  running["settings"]["Classes"].push_back(
+      json::parse(R"({"Name":"bin-record","HardLimit":3000,"AimStretch":2})"));
+  CHECK(fault_of_next(running, running).empty());
+  const json flat = running.flatten();
+  int keys = 0;
+  for (const auto& [pointer, value] : flat.items()) {
+    for (json::json_pointer at(pointer); !at.empty(); at.pop_back()) {
+      const std::string key = at.back();
+      const bool optional = key == "Odd" || key == "AimStretch" || pointer.rfind("/known/", 0) == 0;
+      if (key.find_first_not_of("0123456789") == std::string::npos || optional) continue;
+      ++keys;
+      INFO(at.to_string());
+      json next = running;
+      next[at.parent_pointer()].erase(key);
+      CHECK(fault_of_next(running, next).find(key) != std::string::npos);
+      for (const json& other : {json("text"), json(7), json::array(), json::object(), json()}) {
+        json changed = running;
+        if (other.is_number() == changed[at].is_number() && other.type() == changed[at].type()) continue;
+        if (other.is_number() && changed[at].is_number()) continue;
+        changed[at] = other;
+        CHECK_FALSE(fault_of_next(running, changed).empty());
+      }
+    }
+  }
+  CHECK(keys > 20);
+  json more = running;  // what is new is taken, and so is a list of another length
+  more["settings"]["Classes"].push_back(json::parse(R"({"Name":"new","HardLimit":1,"Aim":5})"));
+  more["settings"]["Tenants"].erase(0);
+  more["extra"] = 1;
+  CHECK(fault_of_next(running, more).empty());
+}
+
+TEST_CASE("a deadline or a number of attempts that is no number above 0 is turned down by its key") {
+  for (const json& bad : {json(0), json(-5), json("2000"), json(true), json(), json::array(), json("")}) {
+    INFO(bad.dump());
+    json next = good();
+    next["settings"]["Classes"][0]["HardLimit"] = bad;
+    CHECK(fault_of_next(good(), next).find("HardLimit") != std::string::npos);
+    CHECK(fault_of(next).find("HardLimit") != std::string::npos);
+    next = good();
+    next["settings"]["Bounds"]["SendCap"] = bad;
+    CHECK(fault_of_next(good(), next).find("SendCap") != std::string::npos);
+  }
+  json twice = good();
+  twice["settings"]["Classes"].push_back(twice["settings"]["Classes"][0]);
+  CHECK(fault_of(twice).find("bin-check") != std::string::npos);
+}
+
+TEST_CASE("a file that is empty, or cut short anywhere, is turned down") {
+  char name[] = "/tmp/lotusyard-cut-XXXXXX";
+  const int fd = mkstemp(name);
+  REQUIRE(fd >= 0);
+  close(fd);
+  const std::string whole = good().dump();
+  for (std::size_t size = 0; size < whole.size(); size += 3) {
+    std::ofstream(name, std::ios::trunc) << whole.substr(0, size);
+    CHECK_THROWS_AS(config::read_json_file(name), config::ConfigError);
+  }
+  std::ofstream(name, std::ios::trunc) << whole;
+  CHECK(config::read_json_file(name) == good());
+  std::remove(name);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -179,5 +179,45 @@
   CHECK(b.desk.answers[id][0].verdict == core::Verdict::refused);
 }
 
+TEST_CASE("an open call keeps the rules under which it was taken; the next one is under the new ones") {
+  Bench b(4);
+  const auto old_check = b.call("bin-check", "0000000000000001");
+  core::Settings next = settings();
+  next.max_attempts = 1;
+  next.classes[0].semantics = robinfold::Semantics::once;
+  next.classes[1].name = "bin-weigh";
+  next.classes[1].semantics = robinfold::Semantics::repeatable;
+  b.dispatcher.retune(next);
+  const auto sent = [&](core::CallId id) {
+    return std::count_if(b.desk.attempts.begin(), b.desk.attempts.end(),
+                         [id](const auto& a) { return a.first.call == id; });
+  };
+  const auto end_all = [&](core::CallId id, core::Outcome outcome) {
+    for (int number = 0, all = static_cast<int>(sent(id)); number < all; ++number) {
+      const core::Attempt attempt{id, number};
+      if (std::exchange(b.desk.attempts[attempt].out, false))
+        b.dispatcher.attempt_ended(attempt, {outcome, 0, std::nullopt, {}});
+    }
+  };
+  end_all(old_check, core::Outcome::error);  // may have run, and may run again, up to four times
+  CHECK(sent(old_check) == 2);
+  end_all(old_check, core::Outcome::ok);
+  const auto new_check = b.call("bin-check", "0000000000000002");
+  end_all(new_check, core::Outcome::error);
+  CHECK(sent(new_check) == 1);
+  CHECK(b.desk.answers[new_check].at(0).verdict == core::Verdict::failed);
+  const auto weigh = b.call("bin-weigh", "0000000000000003");
+  end_all(weigh, core::Outcome::miss);
+  CHECK(sent(weigh) == 1);
+  core::Call dropped;
+  dropped.ref = "0000000000000004";
+  dropped.class_name = "bin-record";
+  dropped.arrived = b.now;
+  dropped.allow = Millis(1000);
+  CHECK_FALSE(b.dispatcher.take(b.dispatcher.next_id(), std::move(dropped), b.desk));
+  CHECK(b.counters.value("calls.unknown_class") == 1);
+  CHECK(b.counters.value("guard.send_stopped") == 0);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -173,6 +173,20 @@
   CHECK(p.world.counters.value("resp.taken_back") == 19);
 }
 
+TEST_CASE("a connection with too many faults ends only once its sound calls have their answers") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  p.world.host[0]->react = [](const std::string& body) {
+    return body == "sound" ? Reaction{Kind::silence, ""} : Reaction();
+  };
+  c.call("1", "bin-record", "sound", 600);
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 1; }, 20000));
+  for (int i = 2; i <= 200; ++i) c.call(std::to_string(i), "no-class", "x");
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(c.got.size() == 200);
+  CHECK(p.world.turn_until([&] { return c.closed; }));
+}
+
 TEST_CASE("a client that sends the same again whenever it is turned away is closed in the end") {
   Platform p(1);
   Client c(p.world, p.front.address());
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -811,6 +811,15 @@
         case 5: r.loaded(id("w", any(9)), static_cast<std::uint64_t>(any(9)), any(40) - 5); break;
         case 6: r.give(event::Peer{any(9) - 2, any(2) ? "1 w1\n2" : "\xff nonsense"}); break;
         case 7: r.give(event::Timer{static_cast<std::uint64_t>(any(1000))}); break;
+        case 8: {  // settings change at any moment
+          Settings next = settings();
+          next.max_attempts = 1 + any(3);
+          next.classes[0].semantics = any(2) ? Semantics::once : Semantics::repeatable;
+          next.classes[0].aim = Millis(any(2) * 500);
+          if (any(2)) next.classes.erase(next.classes.begin() + any(3));
+          r.give(event::Retune{next});
+          break;
+        }
         default: r.pass(any(60) == 0 ? 200000 : any(100)); break;
       }
     }
@@ -819,5 +828,77 @@
   }
 }
 
+// ---- Settings that change ------------------------------------------------------------------------------
+Settings sent_at_once() {  // a first call goes where a copy may stand, and is told if none does
+  Settings s = settings();
+  s.miss_is_answered = true;
+  return s;
+}
+
+TEST(Retune, OpenRequestsKeepTheirRulesAndNewOnesGetTheNewRules) {
+  Router r(sent_at_once());
+  r.list({entry("w1"), entry("w2"), entry("w3")});
+  r.request("old-safe", 1, "safe");
+  r.request("old-once", 2, "unsafe");
+  ASSERT_EQ(r.sends.size(), 2U);
+  Settings next = sent_at_once();
+  next.max_attempts = 1;
+  next.classes[0].semantics = Semantics::once;        // safe
+  next.classes[2].semantics = Semantics::repeatable;  // unsafe
+  r.give(event::Retune{next});
+  r.answer(r.sends[0], Outcome::error);  // may have run: it may go out again, as when it came
+  r.answer(r.sends[1], Outcome::error);
+  ASSERT_EQ(r.sends.size(), 3U);
+  EXPECT_EQ(r.sends[2].id, "old-safe");
+  EXPECT_EQ(r.failed, std::vector<std::string>{"old-once"});
+  r.request("new-safe", 3, "safe");
+  ASSERT_EQ(r.sends.size(), 4U);
+  r.answer(r.sends[3], Outcome::error);
+  EXPECT_EQ(r.failed.size(), 2U);  // now it must not run twice
+  EXPECT_EQ(r.sends.size(), 4U);
+  r.request("new-once", 4, "unsafe");
+  ASSERT_EQ(r.sends.size(), 5U);
+  r.answer(r.sends[4], Outcome::error);
+  EXPECT_EQ(r.sends.size(), 5U);  // it may, but one attempt is all
+  EXPECT_EQ(r.refused, std::vector<std::string>{"new-once"});
+  EXPECT_FALSE(r.broken);
+}
+
+TEST(Retune, PlacesOfClassesAreGivenAwayOnlyOnceNothingOpenStandsInThem) {
+  Router r(sent_at_once());
+  r.list({entry("w1"), entry("w2")});
+  r.request("open", 1, "unsafe");
+  ASSERT_EQ(r.sends.size(), 1U);
+  for (int i = 0; i < 50; ++i) {  // the class is dropped, and others come and go
+    Settings next = sent_at_once();
+    next.classes.resize(1);
+    next.classes.push_back(next.classes[0]);
+    next.classes.back().name = "c" + std::to_string(i);
+    r.give(event::Retune{next});
+    r.request("r" + std::to_string(i), 2, next.classes.back().name);
+    r.answer(r.sends.back(), Outcome::ok);
+  }
+  EXPECT_EQ(r.sends.size(), 51U);
+  r.answer(r.sends[0], Outcome::error);
+  EXPECT_EQ(r.failed, std::vector<std::string>{"open"});
+}
+
+TEST(Retune, WhatWasLearntOfAClassOutlivesAChangeOfItsAim) {
+  const auto refused_late = [](bool retune) {
+    Router r(sent_at_once());
+    r.list({entry("w1")});
+    for (int i = 0; i < 20; ++i) {
+      r.request("r" + std::to_string(i), 1, "safe");
+      r.answer(r.sends.back(), Outcome::ok, 900);
+    }
+    Settings next = sent_at_once();
+    next.classes[0].aim = Millis(950);
+    if (retune) r.give(event::Retune{next});
+    r.request("last", 1, "safe", 500);  // it cannot be served in what is left
+    return r.refused.size() + r.sends.size();
+  };
+  EXPECT_EQ(refused_late(true), refused_late(false));
+}
+
 }  // namespace
 }  // namespace robinfold::test
