A host put back by hand is used soon; its files need no other process's folder

Cause: the folder for the hosts that are out lay in one that only a process with an inherited listener makes (src/app/invoker.cpp, src/membership/out_files.cpp).

Change: both kinds of files lie in one folder, told apart by their names, which either part makes. The list that the module gets says of a host that it was put back by hand; if it has served nothing for a second, one function that is called is loaded there, within the ration, and its next call goes there.

A call sent there at once would only miss.

--- a/include/robinfold/policy.h
+++ b/include/robinfold/policy.h
@@ -75,6 +75,7 @@
   double weight = 1;
   WorkerState state = WorkerState::ready;
   Millis started{0};
+  bool put_back = false;  // by an operator's hand, who wants it used
 };
 
 namespace event {
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -98,7 +98,7 @@
       fleet_(loop_, pool_, counters_, host_limits(*config_, shares())),
       dispatcher_(
           config_->settings, [this] { return loop_.now(); }, fleet_, counters_),
-      out_files_(folder_.empty() ? folder_ : folder_ + "/out"),
+      out_files_(folder_),
       membership_([this](const core::MemberList& list, core::ListKind kind) {
         fleet_.members(list);  // first: what the module sends next needs the addresses
         core::HostList entries{kind, {}};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -11,7 +11,8 @@
   core::Member state = host.listed;
   if (out(id) && state.entry.state == WorkerState::ready) state.entry.state = WorkerState::draining;
   // Danger: a host that was out may have started anew, and the list, seconds late, does not say so yet.
-  state.entry.started = std::max(state.entry.started, host.back);
+  state.entry.put_back = host.back > state.entry.started;
+  if (state.entry.put_back) state.entry.started = host.back;
   return state;
 }
 
--- a/src/membership/out_files.cpp
+++ b/src/membership/out_files.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kLongestName = 200;
+const std::string kPrefix = "out.";
 
 bool plain(char c) {
   return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
@@ -50,7 +51,7 @@
     out += static_cast<char>(std::stoi(hex, nullptr, 16));
     i += 2;
   }
-  // Only names that are ours: others may lie in the folder.
+  // Only names that are ours: no other file stands for a host.
   return !out.empty() && file_name(out) == file ? std::optional<std::string>(out) : std::nullopt;
 }
 
@@ -58,14 +59,15 @@
   const std::string name = file_name(host);
   if (folder_.empty() || name.empty()) return false;
   if (mkdir(folder_.c_str(), 0700) != 0 && errno != EEXIST) return false;
-  const net::Socket file(open((folder_ + '/' + name).c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600));
+  const net::Socket file(
+      open((folder_ + '/' + kPrefix + name).c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600));
   return static_cast<bool>(file);
 }
 
 bool OutFiles::remove(const std::string& host) {
   const std::string name = file_name(host);
   if (folder_.empty() || name.empty()) return false;
-  return unlink((folder_ + '/' + name).c_str()) == 0 || errno == ENOENT;
+  return unlink((folder_ + '/' + kPrefix + name).c_str()) == 0 || errno == ENOENT;
 }
 
 std::optional<std::set<std::string>> OutFiles::read() const {
@@ -74,7 +76,9 @@
   const std::unique_ptr<DIR, int (*)(DIR*)> folder(opendir(folder_.c_str()), &closedir);
   if (!folder) return errno == ENOENT ? std::optional(out) : std::nullopt;
   while (const dirent* entry = readdir(folder.get())) {
-    if (const auto host = host_name(entry->d_name)) out.insert(*host);
+    const std::string name = entry->d_name;
+    if (name.compare(0, kPrefix.size(), kPrefix) != 0) continue;  // others lie there as well
+    if (const auto host = host_name(name.substr(kPrefix.size()))) out.insert(*host);
   }
   return out;
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -80,14 +80,12 @@
   std::uint64_t id = 0;
   int cls = -1, lanes = 1;
   Average run, load;
-  double base = 0, load_hint = 0, arrivals = 0;  // R unloaded (its slow-moving least); own calls, decaying
+  double base = 0, load_hint = 0, arrivals = 0, crowd = 0;  // unloaded R; own calls, decaying; others met
   std::deque<std::uint64_t> queue;
   std::vector<Copy> copies;
-  Millis seen{kNever}, born{kNever};
+  Millis seen{kNever}, born{kNever}, order_after{kNever};  // order_after: no further order before
   std::vector<int> places;  // workers in the order in which this router uses them
-  Millis order_after{kNever};  // no further order before
   bool missed = false;  // the last call sent found no copy
-  double crowd = 0;    // calls of it that ours met at workers
   int agreed = 0, list_version = -1;  // agreed: how many of them all routers share for this function
 };
 struct Health {  // of one class at one worker, or of the worker as a whole
@@ -127,9 +125,7 @@
   bool done = false, streaming = false;
   std::vector<Attempt> attempts;
   bool missed() const { return !attempts.empty() && attempts.back().state == AttemptState::never_ran; }
-  bool out() const {  // one at a time
-    return !attempts.empty() && attempts.back().state == AttemptState::out;
-  }
+  bool out() const { return !attempts.empty() && attempts.back().state == AttemptState::out; }
 };
 
 }  // namespace
@@ -191,6 +187,7 @@
     const Millis since = std::max(w.started, w.died);
     return w.lost || (since.count() > 0 && now_ - since < s_.cold_for);
   }
+  bool fresh(const Worker& w) const { return w.put_back && w.answered < w.started; }
   // Danger: a worker that takes calls and answers none keeps looking idle.
   bool silent(const Worker& w) const { return w.inflight > 0 && now_ - w.heard > patience(any_run_.value); }
   Millis patience(double run) const { return std::max(kSilence, Millis(run * kSilentRuns)); }
@@ -205,8 +202,7 @@
   // What a run takes at the worker, in unloaded runs: its own answers while they are fresh, else the fleet's.
   double stretch_of(const Worker& w) const {
     const double fleet = 1 + (fleet_stretch_ - 1) * fading(stretch_at_, kStretchTau);
-    const double fresh = fading(w.stretch_at, kStretchTau);
-    const double seen = w.stretch * fresh + fleet * (1 - fresh);
+    const double fresh = fading(w.stretch_at, kStretchTau), seen = w.stretch * fresh + fleet * (1 - fresh);
     if (now_ - w.waiting_at > kStretchTau) return seen;
     return std::max(1 + w.waiting / at_once(w), 1 + (seen - 1) / 2);
   }
@@ -397,15 +393,13 @@
   }
   double class_worth(int cls) const {  // for each millisecond of work
     if (cls < 0) return 1;
-    const double worth = s_.classes[static_cast<std::size_t>(cls)].worth;
-    const double run = classes_[slot(cls)].base;
+    const double worth = s_.classes[static_cast<std::size_t>(cls)].worth, run = classes_[slot(cls)].base;
     return s_.worth_by_work || run <= 0 ? worth : worth / run;
   }
   // Danger: in an overload all is served, all late. The wait that a call accepts falls with its worth; one
   // past its aim goes only where nothing waits.
   bool worth_sending(const Request& r, const Worker& w) {
-    const double run = base_of(*r.function);
-    const double wait = run * std::max(0.0, stretch_of(w) - kEasy);
+    const double run = base_of(*r.function), wait = run * std::max(0.0, stretch_of(w) - kEasy);
     if (wait <= 0) return true;
     if (!worth_holding(r)) return false;
     double best = 1e-9;
@@ -491,13 +485,22 @@
       if (!warm(c) || c.busy >= c.standing * f.lanes || !has_room(worker(c))) continue;
       if (!worth_sending(r, worker(c)) || !may_send(r, worker(c))) continue;
       const bool tried = !r.attempts.empty() && r.attempts.back().worker == c.worker;
-      const double score = busyness(worker(c)) * (tried ? 4 : 1);
+      const double score = busyness(worker(c)) * (tried ? 4 : fresh(worker(c)) ? 0.5 : 1);
       if (best != nullptr && score >= least) continue;
       best = &c;
       least = score;
     }
     return best;
   }
+  // Danger: where all is warm elsewhere, a worker that is put back stays idle. Many routers' calls reach it.
+  void welcome(Function& f) {
+    for (auto& w : workers_) {
+      const bool idle = f.queue.empty() && fresh(w) && now_ - std::max(w.started, w.heard) >= kAlive;
+      if (!idle || shared() || !s_.orders || !may_load(w) || !may_order()) continue;
+      w.heard = now_;
+      return order_load(f, w, copy_at(f, index_of(w)));
+    }
+  }
   // Danger: each of many routers keeps to the first warm place of a function: some workers queue all day by
   // idle ones. A call goes where it waits least by reports, also where a copy may stand: misses are cheap.
   Copy* shared_lane(Function& f, const Request& r) {
@@ -512,8 +515,7 @@
       const bool known = c != nullptr && warm(*c);
       if (!known && c != nullptr && (c->loading > 0 || absent(*c))) continue;
       if (!known && i > 0 && (r.attempts.size() > 1 || r.missed())) continue;
-      if (known && c->busy >= c->standing * f.lanes) continue;
-      if (!worth_sending(r, w) || !may_send(r, w)) continue;
+      if ((known && c->busy >= c->standing * f.lanes) || !worth_sending(r, w) || !may_send(r, w)) continue;
       const double further = static_cast<double>(i) + (!known && static_cast<int>(i) >= f.agreed ? 2.0 : 0.0);
       double cost = std::max(1.0, (held_at(w) + w.inflight + 1) / w.weight) + kFurther * further;
       if (!r.attempts.empty() && r.attempts.back().worker == f.places[i]) cost *= 4;
@@ -590,7 +592,7 @@
   void order_load(Function& f, Worker& w, Copy& c) {
     act(action::Load{w.worker, f.id, warm(c) ? std::min(c.standing + 1, 16) : 1});
     if (s_.load_window.count() > 0) ordered_.push_back(now_);
-    ++loads_out_;
+    loads_out_ += 1 - c.loading;
     c.loading = 1;
     c.load_began = c.used = now_;
   }
@@ -743,6 +745,7 @@
     act(action::SetTimer{last, r.serial});
     hold(r, false);
     consider(*r.function);  // the arrival stands in the queue already: N + 1 is its length
+    welcome(*function_index_.at(e.function));
   }
   Function& function_of(const event::Request& e, int cls) {
     auto [slot, fresh] = function_index_.try_emplace(e.function, nullptr);
@@ -778,11 +781,9 @@
     if (e.outcome == Outcome::ok || e.outcome == Outcome::full || e.outcome == Outcome::miss) note_alive(w);
     read_report(w, e.report);
     learn(f, w, c, r, e);
-    if (e.over || r.done) {
-      finish(r);
-    } else if (!r.out() && !r.streaming) {
-      try_again(r);
-    }
+    const bool ended = e.over || r.done;
+    if (ended) finish(r);
+    if (!ended && !r.out() && !r.streaming) try_again(r);
     handoff(f, index);
   }
   void learn(Function& f, Worker& w, Copy& c, const Request& r, const event::Answer& e) {
@@ -932,8 +933,7 @@
   void on(const event::Probed& e) {
     Worker* w = find_worker(e.worker);
     if (!live_ || w == nullptr) return;
-    const Millis asked = w->doubted;
-    w->doubted = kNever;
+    const Millis asked = std::exchange(w->doubted, kNever);
     if (e.outcome == Outcome::ok) {
       note_alive(*w);
       read_report(*w, e.report);
--- a/tests/lotusyard/membership_test.cpp
+++ b/tests/lotusyard/membership_test.cpp
@@ -6,6 +6,7 @@
 
 #include "helper.h"
 #include "membership/out_files.h"
+#include "process.h"
 
 namespace lotusyard::test {
 namespace {
@@ -14,16 +15,6 @@
 using membership::Membership;
 using membership::OutFiles;
 
-struct Folder {  // a new one for each test
-  std::string path;
-  Folder() {
-    char name[] = "/tmp/lotusyard-test-XXXXXX";
-    REQUIRE(mkdtemp(name) != nullptr);
-    path = name;
-  }
-  ~Folder() { REQUIRE(std::system(("chmod -R u+w " + path + " && rm -rf " + path).c_str()) == 0); }
-};
-
 core::Member member(const std::string& id, WorkerState state, double started = 0) {
   core::Member out;
   out.entry.worker = id;
@@ -65,6 +56,7 @@
   CHECK(seen.hosts["b"].state == WorkerState::gone);
   seen.membership.enable("a", Millis(2000));
   CHECK((seen.hosts["a"].state == WorkerState::ready && seen.hosts["a"].started == Millis(2000)));
+  CHECK(seen.hosts["a"].put_back);
   seen.membership.enable("a", Millis(3000));  // it was not out
   seen.membership.list({false, {member("a", WorkerState::ready, 900)}}, core::ListKind::delta);
   CHECK(seen.hosts["a"].started == Millis(2000));  // the list does not know of its new start yet
@@ -102,7 +94,7 @@
     std::vector<std::unique_ptr<Seen>> process(2);
     const auto start = [&](std::unique_ptr<Seen>& one) {
       one = std::make_unique<Seen>();
-      one->membership.follow(*OutFiles(folder.path + "/out").read(), Millis(0));
+      one->membership.follow(*OutFiles(folder.path).read(), Millis(0));
       core::MemberList all{true, {}};
       for (const auto& [id, m] : listed) all.members.push_back(m);
       one->membership.list(all, core::ListKind::cached);
@@ -112,7 +104,7 @@
       const Millis now(1000.0 * step);
       const std::string id(1, static_cast<char>('a' + below(random, 5)));
       auto& one = *process[below(random, 2)];
-      OutFiles files(folder.path + "/out");
+      OutFiles files(folder.path);
       switch (below(random, 6)) {
         case 0:
         case 1: {
@@ -178,7 +170,7 @@
   const Folder folder;
   OutFiles missing(folder.path + "/not/there");  // the folder above it is missing
   CHECK_FALSE(missing.add("a"));
-  const std::string file = folder.path + "/file";
+  const std::string file = folder.path + "/out.file";
   REQUIRE(OutFiles(folder.path).add("file"));
   OutFiles under(file);  // a file stands where the folder should
   CHECK_FALSE(under.add("a"));
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -828,6 +828,38 @@
   }
 }
 
+// ---- Workers that come back ----------------------------------------------------------------------------
+TEST(Welcome, AWorkerThatComesBackEmptyIsUsedThoughAllIsWarmElsewhere) {
+  for (const bool back : {true, false}) {
+    Settings few = settings();
+    few.miss_is_answered = true;
+    few.load_floor = 6;
+    few.load_window = Millis(10000);
+    Router r(few);
+    r.list({entry("w1"), entry("w2")});
+    const auto call = [&](int number) {
+      r.request("r" + std::to_string(number), 1, "safe", 4000, 4);
+      ASSERT_EQ(r.sends.back().id, "r" + std::to_string(number));
+      r.answer(r.sends.back(), Outcome::ok);
+      r.pass(100);
+    };
+    for (int i = 0; i < 10; ++i) call(i);
+    const std::string warm = r.sends.back().worker, other = warm == "w1" ? "w2" : "w1";
+    const std::size_t before = r.sends.size();
+    if (back) r.list({entry(other, WorkerState::draining)}, ListKind::delta);
+    auto again = entry(other, WorkerState::ready, r.now.count());
+    again.put_back = true;
+    if (back) r.list({again}, ListKind::delta);
+    for (int i = 10; i < 60; ++i) {
+      call(i);
+      if (!r.loads.empty()) r.loaded(r.loads.back().worker, 1, 1);
+    }
+    EXPECT_EQ(r.loads.size(), back ? 1U : 0U);  // one order, in the ration, and no more
+    const auto reached = [&](const action::Send& send) { return send.worker == other; };
+    EXPECT_EQ(std::any_of(r.sends.begin() + static_cast<std::ptrdiff_t>(before), r.sends.end(), reached), back);
+  }
+}
+
 // ---- Settings that change ------------------------------------------------------------------------------
 Settings sent_at_once() {  // a first call goes where a copy may stand, and is told if none does
   Settings s = settings();
