At a replacement calls that are only held are refused at once, so that connections end

Change: at that moment the core refuses what is held and never went out; what is out goes on. Nothing else is held back: the client hears at once, and the other process takes its next try.

Rejected: ending a connection while its calls are held (they would be lost), and one connection after the other (each try that comes back may meet the next one).

A probe of each process's hosts twice a second showed that four loads were always under way while 20 to 60 calls were held and the new hosts stood empty.

Tests: held and out calls told apart at the core; a delivery over AMQP that is open while its class changes.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -131,6 +131,20 @@
 void Dispatcher::probe_ended(ProbeOutcome&& end) { run(module_.report(clock_(), end)); }
 void Dispatcher::members(HostList&& list) { run(module_.report(clock_(), list)); }
 
+void Dispatcher::give_up_held(const std::function<bool(CallId)>& which) {
+  std::vector<CallId> held;
+  for (const auto& [id, open] : calls_) {
+    if (!open.out && !open.may_have_run && which(id)) held.push_back(id);
+  }
+  std::sort(held.begin(), held.end());  // the order of a hash table tells nothing
+  for (const CallId id : held) {
+    const Open* open = find(id);
+    if (open == nullptr || open->out) continue;
+    run(module_.report(clock_(), CallLeft{id}));
+    finish(id, {Verdict::refused, Millis(0), {}});
+  }
+}
+
 void Dispatcher::retune(const Settings& settings) {
   settings_ = std::make_shared<const Settings>(settings);
   run(module_.report(clock_(), NewSettings{settings}));
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -32,6 +32,9 @@
   void members(HostList&& list);
   void retune(const Settings& settings);  // open calls keep the rules under which they were taken
 
+  // Refuses at once what is held and never went out, of those that `which` names.
+  void give_up_held(const std::function<bool(CallId)>& which);
+
   void tick();
   Millis next_due() const;
   std::size_t open() const { return calls_.size(); }
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -102,6 +102,12 @@
   if (listener_) loop_.watch(listener_.fd(), *this, POLLIN);
 }
 
+void Front::take_no_more() {
+  if (!std::exchange(takes_, false)) return;
+  // Danger: calls that are held for long keep their connection from its end, and all that come meanwhile are refused.
+  dispatcher_.give_up_held([this](core::CallId id) { return by_call_.count(id) != 0; });
+}
+
 bool Front::hand_over() {
   stop_listening();
   for (const auto& client : std::vector<std::shared_ptr<Client>>(clients_.begin(), clients_.end())) {
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -1,5 +1,6 @@
 // A request's life, under a clock and hosts that the test plays itself.
 #include <cmath>
+#include <set>
 
 #include "helper.h"
 
@@ -219,5 +220,26 @@
   CHECK(b.counters.value("guard.send_stopped") == 0);
 }
 
+TEST_CASE("given up before a replacement: what is held is refused at once, what is out goes on") {
+  core::Settings one = settings();
+  one.classes.resize(1);
+  Bench b(1, one);
+  std::vector<core::CallId> ids;  // more than one host takes at once: the rest is held
+  for (int i = 0; i < 40; ++i) ids.push_back(b.call("bin-check", "00000000000000" + std::to_string(10 + i)));
+  std::set<core::CallId> out;
+  for (const auto& [attempt, o] : b.desk.attempts) out.insert(attempt.call);
+  REQUIRE((!out.empty() && out.size() < ids.size() - 1));
+  const auto spared = *std::find_if(ids.begin(), ids.end(), [&](auto id) { return out.count(id) == 0; });
+  b.dispatcher.give_up_held([&](core::CallId id) { return id != spared; });
+  for (const auto id : ids) {
+    const bool goes_on = out.count(id) != 0 || id == spared;
+    REQUIRE(b.desk.answers.count(id) == (goes_on ? 0 : 1));
+    if (!goes_on) CHECK(b.desk.answers[id].at(0).verdict == core::Verdict::refused);
+  }
+  for (const auto& [attempt, o] : std::map<core::Attempt, Desk::Out>(b.desk.attempts))
+    b.dispatcher.attempt_ended(attempt, {core::Outcome::ok, 0, std::nullopt, {}});
+  for (const auto id : out) CHECK(b.desk.answers[id].size() == 1);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/lotusyard/triggers_test.cpp
+++ b/tests/lotusyard/triggers_test.cpp
@@ -65,6 +65,35 @@
   }
 }
 
+TEST_CASE("a delivery that is open keeps its class's rules when they change; the next one has the new ones") {
+  Triggers t(2);
+  std::map<std::string, int> tries;
+  core::Settings next = settings();
+  std::swap(next.classes[0].semantics, next.classes[1].semantics);
+  bool changed = false;
+  const auto change = [&] {
+    if (std::exchange(changed, true)) return;
+    t.world.dispatcher.retune(next);
+    t.front->retune(next);
+  };
+  for (auto& h : t.world.host) {
+    h->react = [&](const std::string& body) {
+      change();  // while the first one is out
+      return Reaction{Kind::reply, ++tries[body] == 1 ? "failed" : "data"};
+    };
+  }
+  t.broker.send("old", "bin-record", "old");
+  REQUIRE(t.answered("old"));
+  CHECK(word_of(t.broker.held["c-old"][0]) == "FAILED");  // it must not run twice
+  t.broker.send("new", "bin-record", "new");
+  REQUIRE(t.answered("new"));
+  CHECK(word_of(t.broker.held["c-new"][0]) == "OK");  // now it may
+  CHECK((tries["old"] == 1 && tries["new"] == 2));
+  t.broker.send("check", "bin-check", "check");
+  REQUIRE(t.answered("check"));
+  CHECK(word_of(t.broker.held["c-check"][0]) == "FAILED");
+}
+
 TEST_CASE("malformed deliveries are failed where they can be answered, else rejected") {
   Triggers t(1);
   t.broker.send("noclass", "no-such-class", "x");
