--- a/include/robinfold/policy.h
+++ b/include/robinfold/policy.h
@@ -37,9 +37,9 @@
   double aim_stretch = 0, worth = 1, late_worth = 0;
   bool stream = false;
   bool operator==(const ClassSettings& o) const {
-    return std::tie(name, semantics, scope, key_window, aim, deadline, aim_stretch, worth, late_worth, stream) ==
-           std::tie(o.name, o.semantics, o.scope, o.key_window, o.aim, o.deadline, o.aim_stretch, o.worth,
-                    o.late_worth, o.stream);
+    return std::tie(name, semantics, scope, key_window, aim, deadline, aim_stretch, worth, late_worth,
+                    stream) == std::tie(o.name, o.semantics, o.scope, o.key_window, o.aim, o.deadline,
+                                        o.aim_stretch, o.worth, o.late_worth, o.stream);
   }
 };
 struct TenantSettings {
@@ -140,8 +140,8 @@
 };
 }  // namespace event
 using Event =
-    std::variant<event::Start, event::Stop, event::Retune, event::List, event::Request, event::StreamBegan, event::Answer,
-                 event::Left, event::Timer, event::Probed, event::Loaded, event::Peer>;
+    std::variant<event::Start, event::Stop, event::Retune, event::List, event::Request, event::StreamBegan,
+                 event::Answer, event::Left, event::Timer, event::Probed, event::Loaded, event::Peer>;
 
 namespace action {
 struct Send {
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -104,7 +104,7 @@
 
 void Front::take_no_more() {
   if (!std::exchange(takes_, false)) return;
-  // Danger: calls that are held for long keep their connection from its end, and all that come meanwhile are refused.
+  // Danger: calls that are held for long keep their connection from its end; what comes meanwhile is refused.
   dispatcher_.give_up_held([this](core::CallId id) { return by_call_.count(id) != 0; });
 }
 
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -36,7 +36,7 @@
   // Another process takes clients now: none are accepted here, and each connection ends once nothing is open
   // on it. To be called again in each turn; true once all have ended.
   bool hand_over();
-  // New calls are refused, and those that only wait, so that what is open on a busy connection comes to its end.
+  // New calls are refused, and those that only wait, so that what is open on a busy connection ends.
   void take_no_more();
   void bound(const Limits& limits) { limits_ = limits; }
   std::size_t open_calls() const { return by_call_.size(); }
