--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -42,7 +42,7 @@
   keep("console", now.console, next.console);
   keep("limits.memory_mb", now.memory_mb, next.memory_mb);
   keep("limits.sockets", now.sockets, next.sockets);
-  keep("seed", now.seed, next.seed);
+  next.seed = now.seed;  // it tells of a start; where the file has none each reading makes one up
   next.settings.seed = now.settings.seed;
   next.amqp = now.amqp;
   return differs;
