Keyed calls carry op to hosts; no probe goes out where the settings forbid it

Change: src/core/keys decides when a keyed call may go out: under its key, where hosts drop repeats, within the window from the first attempt that may have run. The core holds any number of attempts out that the settings allow. Signs are health where probes are allowed, else an order for no copy, else none; a worker in doubt is asked the same way. Memory of refs and of late answers follows the longest deadline, and when a quiet connection is asked the shortest aim.

Ruled out: no signs at all without probes (a cut connection holds its calls to the deadline); joining calls under one key (a host's answer belongs to one ref).

--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -19,6 +19,7 @@
 constexpr Millis kTakeFor{400};   // calls that come by then end before SIGKILL; a margin for a busy machine
 constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
 constexpr Millis kTurnMost{20};   // while it ends
+constexpr double kQuietAim = 0.8;  // a silent connection is asked for a sign in time for the shortest aim
 
 nlohmann::json read_file(const std::string& file) {
   if (file.empty())
@@ -67,6 +68,14 @@
       std::max(config.amqp ? config.amqp->body_kb << 10 : 0, resp::Parser::longest_word);
   out.longest_answer = std::max({shares.incoming / 4, std::size_t{256} << 10, longest_call});
   out.report_fields = config.report_fields;
+  const auto& settings = config.settings;
+  out.sign = settings.probes ? hosts::Sign::health : settings.orders ? hosts::Sign::order : hosts::Sign::none;
+  Millis aim{0};
+  for (const auto& c : settings.classes) {
+    if (c.aim.count() > 0) aim = aim.count() > 0 ? std::min(aim, c.aim) : c.aim;
+    out.past_kept = std::max(out.past_kept, c.deadline);
+  }
+  if (aim.count() > 0) out.quiet = aim * kQuietAim;
   return out;
 }
 
@@ -210,7 +219,7 @@
   standing_ = standing;
   const auto mine = shares();
   pool_.bound(mine.unwritten / net::BufferPool::block_size);
-  fleet_.bound(mine.links, mine.incoming);
+  fleet_.bound(host_limits(*config_, mine));
   front_.bound(front_limits());
   counters_.add("takeover.changes");
 }
@@ -231,6 +240,7 @@
     if (!differs.empty()) std::cerr << "lotusyard: hold from the next start: " << differs << std::endl;
     config_ = next;
     outline_ = config::outline(file);
+    fleet_.bound(host_limits(*config_, shares()));
     dispatcher_.retune(next->settings);
     if (triggers_) triggers_->retune(next->settings);
     counters_.add("config.reread");
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -8,11 +8,22 @@
 
 // What the module leaves open is ended this long after its deadline, inside the grace that the rules give.
 constexpr Millis kOverdue{2};
-constexpr Millis kRefKept{10000};  // a late answer of a host may still come under a ref for so long
+constexpr Millis kRefKept{10000};  // a late answer may still come under a ref for so long, or its class's limit
 constexpr std::size_t kRefsKept = 8192;
 constexpr int kMostLanes = 1024;
 constexpr double kMostMemoryMb = 1e6;
 
+// The settings know a second copy, and no further ones.
+std::size_t most_out(const Settings& rules) { return rules.second_copies ? 2 : 1; }
+
+const robinfold::ClassSettings* class_named(const Settings& settings, const std::string& name) {
+  const auto same = [&](const auto& c) { return c.name == name; };
+  const auto found = std::find_if(settings.classes.begin(), settings.classes.end(), same);
+  return found == settings.classes.end() ? nullptr : &*found;
+}
+
+KeyRule key_rule(const robinfold::ClassSettings& c) { return {c.scope, c.key_window, c.deadline}; }
+
 }  // namespace
 
 Dispatcher::Dispatcher(const Settings& settings, Clock clock, Hosts& hosts, Counters& counters)
@@ -33,9 +44,10 @@
   const auto named = [](const std::string& name) {
     return [&name](const auto& entry) { return entry.name == name; };
   };
-  const auto& classes = settings_->classes;
-  const auto cls = std::find_if(classes.begin(), classes.end(), named(call.class_name));
-  if (cls == classes.end()) return "calls.unknown_class";
+  const auto* cls = class_named(*settings_, call.class_name);
+  if (cls == nullptr) return "calls.unknown_class";
+  if (cls->semantics == robinfold::Semantics::keyed && call.key.empty()) return "calls.no_key";
+  if (!call.key.empty() && !Keys::sound(call.key)) return "calls.bad_key";
   const auto& tenants = settings_->tenants;
   if (!call.tenant.empty() && !tenants.empty() &&
       std::none_of(tenants.begin(), tenants.end(), named(call.tenant))) {
@@ -53,8 +65,10 @@
 // Bounds the memory of refs; the one place where it shrinks.
 void Dispatcher::forget_ref(const std::string& ref) {
   const Millis now = clock_();
+  Millis kept = kRefKept;
+  for (const auto& c : settings_->classes) kept = std::max(kept, c.deadline);
   ended_refs_.emplace_back(now, ref);
-  while (now - ended_refs_.front().first > kRefKept || ended_refs_.size() > kRefsKept) {
+  while (now - ended_refs_.front().first > kept || ended_refs_.size() > kRefsKept) {
     refs_.erase(ended_refs_.front().second);
     ended_refs_.pop_front();
   }
@@ -66,62 +80,87 @@
     return false;
   }
   // Danger: hosts know a call by its ref; two under one would get each other's answers.
-  if (!refs_.insert(call.ref).second) {
+  if (refs_.count(call.ref) != 0) {
     counters_.add("calls.ref_repeated");
     return false;
   }
+  const auto* cls = class_named(*settings_, call.class_name);
+  if (cls->semantics == robinfold::Semantics::keyed) {
+    static const char* const faults[] = {nullptr, "calls.key_of_another", "calls.key_window_over",
+                                         "calls.keys_full"};
+    if (const char* fault = faults[static_cast<int>(keys_.begin(call, key_rule(*cls), clock_()))]) {
+      counters_.add(fault);
+      return false;
+    }
+  }
+  refs_.insert(call.ref);
   counters_.add("calls.taken");
   Open& open = calls_[id];
   open.call = std::move(call);
   open.front = &front;
   open.rules = settings_;
-  for (const auto& c : open.rules->classes) {
-    if (c.name == open.call.class_name) open.once = c.semantics == robinfold::Semantics::once;
-  }
+  open.cls = cls;
   due_.push({open.call.arrived + open.call.allow + kOverdue, id, -1});
   run(module_.pick(clock_(), id, open.call));
   return true;
 }
 
+void Dispatcher::end_keyed(const Open& open) {
+  if (open.keyed()) keys_.end(open.call, key_rule(*open.cls));
+}
+
 void Dispatcher::leave(CallId id) {
-  Open* open = find(id);
-  if (open == nullptr) return;
+  if (find(id) == nullptr) return;
   counters_.add("calls.left");
-  // The module hears of it before the attempt ends: it must not try again what nobody waits for.
+  // The module hears of it before the attempts end: it must not try again what nobody waits for.
   run(module_.report(clock_(), CallLeft{id}));
-  if ((open = find(id)) != nullptr && open->out) {
-    hosts_.drop(open->out->attempt);
-    give_back(id, *open, Outcome::cancelled, true);
-  }
+  if (Open* open = find(id)) drop_all(id, *open);
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
+  end_keyed(found->second);
   forget_ref(found->second.call.ref);
   calls_.erase(found);
 }
 
-// Tells the module of the end of the attempt that is out, if one is.
-void Dispatcher::give_back(CallId id, Open& open, Outcome outcome, bool over) {
-  if (!open.out) return;
-  const Out out = std::move(*open.out);
-  open.out.reset();
-  if (!robinfold::proves_never_ran(outcome)) open.may_have_run = true;
-  if (!over && !open.may_have_run) open.front->never_ran(id);
+std::optional<Dispatcher::Out> Dispatcher::take_out(CallId id, Open& open, int number, Outcome outcome) {
+  const auto same = [number](const Out& o) { return o.attempt.number == number; };
+  const auto found = std::find_if(open.out.begin(), open.out.end(), same);
+  if (found == open.out.end()) return std::nullopt;
+  Out out = std::move(*found);
+  open.out.erase(found);
+  if (!robinfold::proves_never_ran(outcome)) {
+    open.may_have_run = true;
+  } else {
+    if (open.keyed()) keys_.never_ran(open.call, out.attempt);
+    if (!open.may_have_run && open.out.empty()) open.front->never_ran(id);
+  }
+  return out;
+}
+
+void Dispatcher::tell_end(Out&& out, Outcome outcome, bool over) {
   const Millis now = clock_();
-  AttemptOutcome told{{id, out.attempt.number}, out.host, outcome, over, 0, now - out.sent, std::nullopt};
-  run(module_.report(now, told));
+  run(module_.report(now, AttemptOutcome{out.attempt, out.host, outcome, over, 0, now - out.sent, {}}));
+}
+
+// Gives up what is out for a call that is over. The call may end meanwhile.
+void Dispatcher::drop_all(CallId id, Open& open) {
+  std::vector<std::pair<Out, Outcome>> dropped;
+  while (!open.out.empty()) {
+    const core::Attempt attempt = open.out.front().attempt;
+    const Outcome outcome = hosts_.drop(attempt) ? Outcome::cancelled : Outcome::moot;
+    dropped.emplace_back(*take_out(id, open, attempt.number, outcome), outcome);
+  }
+  for (auto& [out, outcome] : dropped) tell_end(std::move(out), outcome, true);
 }
 
 void Dispatcher::attempt_ended(const Attempt& attempt, AttemptEnd&& end) {
   Open* open = find(attempt.call);
-  if (open == nullptr || !open->out || !(open->out->attempt == attempt)) return;
-  const Out out = std::move(*open->out);
-  open->out.reset();
-  if (!robinfold::proves_never_ran(end.outcome)) open->may_have_run = true;
-  if (!open->may_have_run) open->front->never_ran(attempt.call);
+  auto out = open == nullptr ? std::nullopt : take_out(attempt.call, *open, attempt.number, end.outcome);
+  if (!out) return;
   const Millis now = clock_();
   const bool served = end.outcome == Outcome::ok;
-  AttemptOutcome told{attempt,   out.host,       end.outcome,          served,
-                      end.crowd, now - out.sent, std::move(end.report)};
+  AttemptOutcome told{attempt,   out->host,       end.outcome,          served,
+                      end.crowd, now - out->sent, std::move(end.report)};
   // The answer goes first: the module's turn may be long.
   if (served) finish(attempt.call, {Verdict::served, Millis(0), std::move(end.body)});
   run(module_.report(now, told));
@@ -129,17 +168,27 @@
 
 void Dispatcher::load_ended(LoadOutcome&& end) { run(module_.report(clock_(), end)); }
 void Dispatcher::probe_ended(ProbeOutcome&& end) { run(module_.report(clock_(), end)); }
-void Dispatcher::members(HostList&& list) { run(module_.report(clock_(), list)); }
+void Dispatcher::members(HostList&& list) {
+  if (list.kind != ListKind::delta) places_.clear();
+  for (const auto& entry : list.entries) {
+    if (entry.state == robinfold::WorkerState::gone) {
+      places_.erase(entry.worker);
+    } else {
+      places_[entry.worker] = {entry.zone, entry.cell};
+    }
+  }
+  run(module_.report(clock_(), list));
+}
 
 void Dispatcher::give_up_held(const std::function<bool(CallId)>& which) {
   std::vector<CallId> held;
   for (const auto& [id, open] : calls_) {
-    if (!open.out && !open.may_have_run && which(id)) held.push_back(id);
+    if (open.out.empty() && !open.may_have_run && which(id)) held.push_back(id);
   }
   std::sort(held.begin(), held.end());  // the order of a hash table tells nothing
   for (const CallId id : held) {
     const Open* open = find(id);
-    if (open == nullptr || open->out) continue;
+    if (open == nullptr || !open->out.empty()) continue;
     run(module_.report(clock_(), CallLeft{id}));
     finish(id, {Verdict::refused, Millis(0), {}});
   }
@@ -159,10 +208,12 @@
     Open* open = find(due.call);
     if (open == nullptr) continue;
     if (due.attempt >= 0) {
-      if (!open->out || open->out->attempt.number != due.attempt) continue;
+      const auto same = [&](const Out& o) { return o.attempt.number == due.attempt; };
+      const auto found = std::find_if(open->out.begin(), open->out.end(), same);
+      if (found == open->out.end()) continue;
       counters_.add("attempts.timed_out");
-      const bool ran = hosts_.drop(open->out->attempt);
-      give_back(due.call, *open, ran ? Outcome::timeout : Outcome::connect_failed, false);
+      const Outcome outcome = hosts_.drop(found->attempt) ? Outcome::timeout : Outcome::connect_failed;
+      tell_end(*take_out(due.call, *open, due.attempt, outcome), outcome, false);
     } else {
       // Danger: a call that the module forgot would never be answered.
       counters_.add("calls.overdue");
@@ -189,18 +240,32 @@
   running_ = false;
 }
 
+// Whether a further attempt keeps the rules: a few out, a second copy elsewhere, nothing twice that may have
+// run where that is not allowed.
+bool Dispatcher::may_go(const Open& open, const std::string& host) const {
+  if (open.out.size() >= most_out(*open.rules)) return false;
+  if (std::any_of(open.out.begin(), open.out.end(), [&](const Out& o) { return o.host == host; })) return false;
+  if (open.attempts >= open.rules->max_attempts) return false;
+  switch (open.cls->semantics) {
+    case robinfold::Semantics::repeatable: return true;
+    case robinfold::Semantics::once: return !open.may_have_run && open.out.empty();
+    case robinfold::Semantics::keyed: break;
+  }
+  const auto place = places_.find(host);
+  return place != places_.end() && keys_.may_go(open.call, key_rule(*open.cls), place->second, clock_());
+}
+
 void Dispatcher::carry_out(const SendStep& step) {
   Open* open = find(step.call);
   if (open == nullptr) return;
-  // Guards the rules whatever the module says: one attempt out, a few in all, nothing twice that may have
-  // run.
-  const Attempt attempt{step.call, open->attempts++};
   const Millis now = clock_(), left = open->call.arrived + open->call.allow - now;
   const Millis patience = step.patience.count() > 0 ? std::min(step.patience, left) : left;
-  const bool again = open->once && open->may_have_run;
-  if (open->out || again || attempt.number >= open->rules->max_attempts || patience.count() < 1) {
+  // Guards the rules whatever the module says.
+  const bool fits = may_go(*open, step.host) && patience.count() >= 1;
+  const Attempt attempt{step.call, open->attempts++};
+  if (!fits) {
     counters_.add("guard.send_stopped");
-    const bool other_out = open->out.has_value();
+    const bool other_out = !open->out.empty();
     if (!other_out) finish(step.call, Answer{});
     run(module_.report(now, AttemptOutcome{attempt, step.host, Outcome::moot, !other_out, 0, {}, {}}));
     return;
@@ -212,8 +277,9 @@
     run(module_.report(now, AttemptOutcome{attempt, step.host, Outcome::moot, true, 0, {}, {}}));
     return;
   }
-  counters_.add("attempts.sent");
-  open->out = Out{attempt, step.host, now};
+  counters_.add(open->out.empty() ? "attempts.sent" : "attempts.second");
+  if (open->keyed()) keys_.went_out(open->call, attempt, places_.at(step.host), now);
+  open->out.push_back(Out{attempt, step.host, now});
   due_.push({now + patience, step.call, attempt.number});
   hosts_.exec(attempt, step.host, open->call, patience);
 }
@@ -221,7 +287,8 @@
 void Dispatcher::carry_out(const RefuseStep& step) {
   Open* open = find(step.call);
   if (open == nullptr) return;
-  if (open->out && hosts_.drop(open->out->attempt)) open->may_have_run = true;
+  drop_all(step.call, *open);
+  if ((open = find(step.call)) == nullptr) return;
   // A refusal says that trying again is harmless; what may have run is failed, with the same advice.
   const bool harmless = !open->may_have_run;
   finish(step.call, {harmless ? Verdict::refused : Verdict::failed, step.cooldown, {}});
@@ -231,10 +298,12 @@
 
 void Dispatcher::carry_out(const CancelStep& step) {
   Open* open = find(step.attempt.call);
-  if (open == nullptr || !open->out || !(open->out->attempt == step.attempt)) return;
+  if (open == nullptr) return;
+  const auto same = [&](const Out& o) { return o.attempt == step.attempt; };
+  if (std::none_of(open->out.begin(), open->out.end(), same)) return;
   counters_.add("attempts.cancelled");
-  const bool ran = hosts_.drop(step.attempt);
-  give_back(step.attempt.call, *open, ran ? Outcome::cancelled : Outcome::moot, false);
+  const Outcome outcome = hosts_.drop(step.attempt) ? Outcome::cancelled : Outcome::moot;
+  tell_end(*take_out(step.attempt.call, *open, step.attempt.number, outcome), outcome, false);
 }
 
 void Dispatcher::carry_out(const LoadStep& step) {
@@ -247,12 +316,12 @@
   if (found == calls_.end()) return;
   Open open = std::move(found->second);
   calls_.erase(found);  // first: whatever follows finds the call ended
-  forget_ref(open.call.ref);
   static const char* const names[] = {"calls.served", "calls.refused", "calls.failed"};
   counters_.add(names[static_cast<std::size_t>(answer.verdict)]);
-  if (open.out) hosts_.drop(open.out->attempt);
   open.front->answer(id, std::move(answer));
-  give_back(id, open, Outcome::cancelled, true);
+  drop_all(id, open);
+  end_keyed(open);
+  forget_ref(open.call.ref);
 }
 
 }  // namespace lotusyard::core
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -1,4 +1,5 @@
-// A call's life: taken, tried at hosts one attempt at a time, ended by exactly one final answer.
+// A call's life: taken, tried at hosts, with as many attempts out as the settings allow, ended by exactly one
+// final answer.
 #pragma once
 
 #include <deque>
@@ -10,6 +11,7 @@
 #include <unordered_set>
 
 #include "core/counters.h"
+#include "core/keys.h"
 #include "core/module.h"
 #include "core/types.h"
 
@@ -49,9 +51,11 @@
     Call call;
     Front* front = nullptr;
     std::shared_ptr<const Settings> rules;
-    bool once = true, may_have_run = false;
+    const robinfold::ClassSettings* cls = nullptr;  // in `rules`
+    bool may_have_run = false;  // one of those that have ended
     int attempts = 0;
-    std::optional<Out> out;
+    std::vector<Out> out;
+    bool keyed() const { return cls->semantics == robinfold::Semantics::keyed; }
   };
   struct Due {
     Millis at{0};
@@ -71,6 +75,8 @@
   std::unordered_map<CallId, Open> calls_;
   std::unordered_set<std::string> refs_;  // of open calls, and of those that ended a short while ago
   std::deque<std::pair<Millis, std::string>> ended_refs_;
+  Keys keys_;
+  std::unordered_map<std::string, Place> places_;  // of the hosts on the list
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::deque<Step> steps_;
   bool running_ = false;
@@ -83,7 +89,12 @@
   void carry_out(const ProbeStep& step) { hosts_.probe(step.host); }
   void carry_out(const LoadStep& step);
   void carry_out(const UnloadStep& step) { hosts_.release(step.host, step.function); }
-  void give_back(CallId id, Open& open, Outcome outcome, bool over);
+  // Takes the attempt from those that are out and books how it ended; none if it is not out.
+  std::optional<Out> take_out(CallId id, Open& open, int number, Outcome outcome);
+  void tell_end(Out&& out, Outcome outcome, bool over);
+  void drop_all(CallId id, Open& open);
+  bool may_go(const Open& open, const std::string& host) const;
+  void end_keyed(const Open& open);
   void finish(CallId id, Answer&& answer);
   const char* fault_of(const Call& call) const;
   void forget_ref(const std::string& ref);
--- /dev/null
+++ b/src/core/keys.cpp
@@ -0,0 +1,99 @@
+#include "core/keys.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace lotusyard::core {
+
+bool Keys::sound(const std::string& key) {
+  const auto plain = [](char c) { return c > ' ' && c <= '~' && c != ',' && c != '='; };
+  return !key.empty() && key.size() <= longest && std::all_of(key.begin(), key.end(), plain);
+}
+
+std::optional<Millis> Keys::first(const Record& record) {
+  std::optional<Millis> out = record.before;
+  for (const auto& sent : record.sent) out = out ? std::min(*out, sent.when) : sent.when;
+  return out;
+}
+
+// Bounds the memory of keys; the one place where it shrinks.
+void Keys::forget(Millis now) {
+  while (!ends_.empty() && ends_.front().first <= now) {
+    const auto found = records_.find(ends_.front().second);
+    if (found != records_.end() && found->second.open == 0 && found->second.kept_until <= now)
+      records_.erase(found);
+    ends_.pop_front();
+  }
+}
+
+Keys::Word Keys::begin(const Call& call, const KeyRule& rule, Millis now) {
+  forget(now);
+  const std::uint64_t body = std::hash<std::string>()(call.body);
+  const std::string name = name_of(call);
+  const auto found = records_.find(name);
+  if (found == records_.end()) {
+    if (records_.size() >= most) return Word::full;
+    // Danger: after a restart, or with another invoker, the first try is not known here. A client waits for
+    // all of its tries together no longer than the class's limit, and this one ends it.
+    std::optional<Millis> before = call.ran_since;
+    if (!before && call.retry) before = now + std::min(call.allow - rule.hard_limit, Millis(0));
+    if (before && now - *before >= rule.window) return Word::window_over;
+    Record& fresh = records_[name];
+    fresh.function = call.function;
+    fresh.body = body;
+    fresh.open = 1;
+    fresh.before = before;
+    return Word::taken;
+  }
+  Record& record = found->second;
+  if (record.function != call.function || record.body != body) return Word::other_request;
+  const auto since = first(record);
+  if (since && now - *since >= rule.window) return Word::window_over;
+  ++record.open;
+  return Word::taken;
+}
+
+bool Keys::may_go(const Call& call, const KeyRule& rule, const Place& to, Millis now) const {
+  const auto found = records_.find(name_of(call));
+  if (found == records_.end()) return false;
+  const auto since = first(found->second);
+  if (!since) return true;
+  if (now - *since >= rule.window || found->second.sent.size() >= most_sends) return false;
+  if (rule.scope == robinfold::KeyScope::all) return true;
+  if (found->second.before) return false;  // nobody knows where that was
+  return std::all_of(found->second.sent.begin(), found->second.sent.end(), [&](const Sent& sent) {
+    return rule.scope == robinfold::KeyScope::zone ? sent.at.zone == to.zone : sent.at.cell == to.cell;
+  });
+}
+
+void Keys::went_out(const Call& call, const Attempt& attempt, const Place& to, Millis now) {
+  const auto found = records_.find(name_of(call));
+  if (found != records_.end()) found->second.sent.push_back({attempt, to, now});
+}
+
+void Keys::never_ran(const Call& call, const Attempt& attempt) {
+  const auto found = records_.find(name_of(call));
+  if (found == records_.end()) return;
+  auto& sent = found->second.sent;
+  const auto same = [&](const Sent& s) { return s.attempt == attempt; };
+  sent.erase(std::remove_if(sent.begin(), sent.end(), same), sent.end());
+}
+
+void Keys::end(const Call& call, const KeyRule& rule) {
+  const auto found = records_.find(name_of(call));
+  if (found == records_.end()) return;
+  Record& record = found->second;
+  if (--record.open > 0) return;
+  const auto since = first(record);
+  // Past its window for as long again: a try that comes too late is known to, and is not run. Only the first
+  // send and where sends went matter from now on.
+  if (!since) {
+    records_.erase(found);
+    return;
+  }
+  const Millis until = *since + rule.window * 2;
+  if (std::exchange(record.kept_until, until) != until) ends_.emplace_back(until, found->first);
+}
+
+}  // namespace lotusyard::core
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -28,7 +28,9 @@
   std::string function_name;   // as the client wrote it
   std::uint64_t function = 0;  // the same as a number, for the module
   std::optional<double> effort;
-  bool retry = false;
+  bool retry = false;  // a client's further try
+  std::string key;     // the client's idempotency key; passed on unchanged
+  std::optional<Millis> ran_since;  // something under the key may have run elsewhere, no sooner than this
   double memory_mb = 0;
   int lanes = 1;
   Millis arrived{0}, allow{0};
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -19,8 +19,7 @@
 constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
 constexpr Millis kQuietLeast{
     200};                          // a link with something out that is silent for longer is asked for a sign,
-constexpr Millis kQuietMost{400};  // or, where answers take long as a rule, for longer than this
-constexpr double kQuietRuns = 2;   // so many usual answers lie between these two
+constexpr double kQuietRuns = 2;   // so many usual answers, but no longer than the limit that is set
 constexpr double kUsualGain = 0.05;
 constexpr double kSignShare = 0.05;  // signs asked for each attempt, over all links
 constexpr double kSignsMost = 5;     // and what may be saved up of them
@@ -29,7 +28,6 @@
 constexpr Millis kPieceMost{200};  // between two pieces of an answer; later, its rest never comes
 constexpr Millis kWholeMost{2000};  // and from its first to its last
 constexpr Millis kCheckPace{50};
-constexpr Millis kPastKept{10000};  // for so long a late answer to an attempt that has ended may still come
 constexpr std::size_t kPastMost = 2048;
 constexpr Millis kUnreadMost{1000};  // what a host told draining has not read by then is not sent any more
 constexpr double kIdleShare =
@@ -71,11 +69,11 @@
            attempts_.count(ref) == 0 && past_.count(ref) == 0;
   }
   void exec(const core::Attempt& attempt, const core::Call& call, Millis patience) {
-    Sent sent{attempt, fleet_.loop_.now(), 0, false};
+    Sent sent{attempt, fleet_.loop_.now(), 0, false, call.function};
     if (connecting()) {
-      waiting_.push_back({call.ref, call.class_name, call.function_name, call.body, sent.at + patience});
+      waiting_.push_back({call.ref, fields_of(call), call.body, sent.at + patience});
     } else {
-      put(call.ref, call.class_name, call.function_name, call.body, patience, sent);
+      put(call.ref, fields_of(call), call.body, patience, sent);
     }
     attempts_.emplace(call.ref, sent);
     rest();
@@ -107,8 +105,7 @@
     return outbox().written() >= sent.end;
   }
   void order(const std::string& tag, std::uint64_t function, int copies) {
-    ask(tag, Asked::Kind::order, function,
-        "ensure " + tag + " asset=" + net::hex16(function) + ",count=" + std::to_string(copies));
+    ask(tag, Asked::Kind::order, function, order_line(tag, function, copies));
   }
   void probe(const std::string& tag) { ask(tag, Asked::Kind::probe, 0, "load " + tag); }
   void say(const std::string& tag, const std::string& line) {
@@ -140,9 +137,10 @@
     Millis at{0};
     std::uint64_t end = 0;  // offset behind its last byte
     bool put = false;       // its bytes stand in the outbox or went out
+    std::uint64_t function = 0;
   };
   struct Waiting {
-    std::string ref, class_name, function_name, body;
+    std::string ref, fields, body;  // fields: without its patience, which counts from when it goes out
     Millis until{0};
   };
   struct Asked {
@@ -173,7 +171,7 @@
   void past(const std::string& ref, bool answered) {
     const Millis now = fleet_.loop_.now();
     while (!past_order_.empty() &&
-           (now - past_order_.front().first > kPastKept || past_order_.size() > kPastMost)) {
+           (now - past_order_.front().first > fleet_.limits_.past_kept || past_order_.size() > kPastMost)) {
       past_.erase(past_order_.front().second);
       past_order_.pop_front();
     }
@@ -205,21 +203,32 @@
       return end_later();
     }
     const Millis quiet = fleet_.quiet_most() * (1 << std::min(signs_, kSignDoublings));
-    if (open() && !attempts_.empty() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > quiet &&
+    if (fleet_.limits_.sign != Sign::none && open() && !attempts_.empty() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > quiet &&
         fleet_.take_sign()) {
       sign_asked_ = now;
       ++signs_;
       const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
-      ask(tag, Asked::Kind::sign, 0, "health " + tag);
+      // Danger: a probe that the settings forbid breaks a rule. An order for no copy is allowed, and tells as
+      // much; its function is one that a client has called.
+      const bool order = fleet_.limits_.sign == Sign::order;
+      ask(tag, Asked::Kind::sign, 0,
+          order ? order_line(tag, attempts_.begin()->second.function, 0) : "health " + tag);
     }
     if (std::exchange(checking_, true)) return;
     check_ = fleet_.loop_.at(now + kCheckPace, [this] { check(); });
   }
-  void put(const std::string& ref, const std::string& class_name, const std::string& function,
-           const std::string& body, Millis patience, Sent& sent) {
+  static std::string order_line(const std::string& tag, std::uint64_t function, int copies) {
+    return "ensure " + tag + " asset=" + net::hex16(function) + ",count=" + std::to_string(copies);
+  }
+  static std::string fields_of(const core::Call& call) {
+    const std::string fields = "sort=" + call.class_name + ",asset=" + call.function_name;
+    return call.key.empty() ? fields : fields + ",op=" + call.key;
+  }
+  void put(const std::string& ref, const std::string& fields, const std::string& body, Millis patience,
+           Sent& sent) {
     const auto whole = std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(patience.count())));
-    std::string message = "exec " + ref + " sort=" + class_name + ",asset=" + function +
-                          ",patience=" + std::to_string(whole) + ' ' + std::to_string(body.size()) + "\r\n";
+    std::string message = "exec " + ref + ' ' + fields + ",patience=" + std::to_string(whole) + ' ' +
+                          std::to_string(body.size()) + "\r\n";
     message += body;
     message += "\r\n";
     write(message);
@@ -255,7 +264,7 @@
     for (const auto& [tag, line] : said) put_line(tag, line);
     for (const auto& w : waiting) {
       const Millis left = w.until - heard_;
-      put(w.ref, w.class_name, w.function_name, w.body, left, attempts_.at(w.ref));
+      put(w.ref, w.fields, w.body, left, attempts_.at(w.ref));
     }
     rest();
   }
@@ -365,7 +374,7 @@
 };
 
 Millis Fleet::quiet_most() const {
-  return std::min(std::max(usual_answer_ * kQuietRuns, kQuietLeast), kQuietMost);
+  return std::min(std::max(usual_answer_ * kQuietRuns, kQuietLeast), std::max(limits_.quiet, kQuietLeast));
 }
 void Fleet::note_answer(Millis took) { usual_answer_ += kUsualGain * (took - usual_answer_); }
 // Danger: each sign is cheap, but calls that wait for a load are silent as well. Asked for whatever is late,
@@ -415,11 +424,6 @@
   }
 }
 
-void Fleet::bound(std::size_t links, std::size_t incoming) {
-  limits_.links = links;
-  limits_.incoming = incoming;
-}
-
 // Danger: a share of the memory for each connection is too little for one long answer, where there is little;
 // what counts is what has come in over all. The one that holds most goes.
 void Fleet::hold(Link& link, std::size_t before, std::size_t now) {
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -17,8 +17,14 @@
 
 using core::Millis;
 
+// How a connection that has fallen silent is asked whether anything still comes over it.
+enum class Sign { none, health, order };  // order: one that only asks, where probes are not allowed
+
 struct Limits {
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
+  Sign sign = Sign::health;
+  Millis quiet{400};         // a connection is never asked sooner than after this, where answers take long
+  Millis past_kept{10000};   // a late answer to an attempt that has ended may still come for so long
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
   std::size_t longest_answer = 1U << 20;   // the body of one; a link holds at most one that is not whole yet
   std::size_t incoming = 32U << 20;        // bytes of answers that are not whole yet, over all links
@@ -32,7 +38,7 @@
   void attach(core::Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
 
   void members(const core::MemberList& list);
-  void bound(std::size_t links, std::size_t incoming);  // connections, and bytes of answers not whole yet
+  void bound(const Limits& limits) { limits_ = limits; }  // connections that are open keep to them from now on
 
   void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
             Millis patience) override;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -98,6 +98,7 @@
   Millis died{kNever}, cold_filled{kNever}, waiting_at{kNever}, gone{kNever};
   std::uint64_t hash = 0;
   int inflight = 0, listed = 0, probes_lost = 0;  // probes_lost: on end, since it was doubted
+  std::uint64_t asked_of = 0;  // the function of the order that asked in place of a probe
   Millis held_at{kNever}, doubted{kNever};  // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
   double limit = kLimitFirst, waiting = 0, stretch = 1, cold_tokens = 0, held = 0;  // held: as reported
@@ -232,9 +233,8 @@
       }
     }
   }
-  // Danger: a count of calls alone does not tell how full a worker is: ten crowd two cores, and leave most of
-  // twenty-four idle. Taken for crowded, an idle fleet gets copies it does not need, and calls are refused.
-  // Read off all workers together: one alone would be taken for small until it had told enough.
+  // Danger: ten calls crowd two cores and leave most of twenty-four idle: taken for crowded, those get needless
+  // copies. Read off all workers together: one alone would be taken for small until it had told enough.
   double at_once(const Worker& w) const {
     if (busy_ <= 0) return kAtOnce;
     return std::min(std::max(kAtOnce, kSizeEasy * w.weight * held_ / busy_), kLimitMost);
@@ -286,10 +286,10 @@
     h.probation = true;
     h.errors = 0;
   }
-  // Danger: one connection that breaks says little of its worker: taken for a death, it leaves out a warm
-  // worker for a whole cold time. A probe on another connection tells. Guards also against a refused connect.
+  // Danger: a broken connection taken for a death leaves out a warm worker for a cold time. A question tells.
   void doubt(Worker& w, bool reset) {
-    if (!s_.probes || w.state != WorkerState::ready) return unreachable(w, reset);
+    const bool can_ask = s_.probes || (s_.orders && !functions_.empty());
+    if (!can_ask || w.state != WorkerState::ready) return unreachable(w, reset);
     w.doubted_reset = reset || (w.doubted_reset && now_ - w.doubted <= kSilence);
     if (now_ - w.doubted <= kSilence) return;  // the probe is out
     w.probes_lost = 0;
@@ -297,15 +297,16 @@
   }
   void ask(Worker& w) {
     w.doubted = now_;
-    act(action::Probe{w.worker});
+    if (s_.probes) return act(action::Probe{w.worker});
+    w.asked_of = functions_.back()->id;  // an order for no copy tells as much where no probe is allowed
+    act(action::Load{w.worker, w.asked_of, 0});
   }
   void unreachable(Worker& w, bool died) {
     if (died || !alive(w)) lose(w);
     eject(w);
   }
   bool alive(const Worker& w) const { return now_ - w.answered < kAlive; }
-  // Danger: after a restart not yet listed many routers send a cold worker their full load. The cold budget
-  // holds till it is back and a cold time from then. Guards against crashes, cut links, wrong lists.
+  // Danger: many routers send a worker that restarted, not yet listed, their full load: it counts as cold.
   void lose(Worker& w) {
     if (!w.lost) forget_copies(index_of(w));
     w.lost = true;
@@ -358,8 +359,8 @@
   }
 
   // ---- Places ------------------------------------------------------------------------------------------
-  // Danger: with many routers each sees a sliver of a function's calls. All hash it to the same few workers
-  // (rendezvous), so that one's copy serves the others, and each uses them in an order of its own.
+  // Each router sees a sliver of a function's calls. All hash it to the same few workers (rendezvous), so that
+  // one's copy serves the others, and each uses them in an order of its own.
   double demand(const Function& f) const {  // this router's calls of the function in service at once
     const Millis span = std::min(kDemandTau, std::max(kDemandLeast, now_ - f.born));
     const double lately = f.arrivals * fading(f.seen, kDemandTau);
@@ -475,8 +476,7 @@
   }
   Copy& copy_at(Function& f, int index) {
     if (Copy* c = find_copy(f, index)) return *c;
-    f.copies.push_back({index});
-    return f.copies.back();
+    return f.copies.emplace_back(Copy{index});
   }
   Copy* warm_lane(Function& f, const Request& r) {
     Copy* best = nullptr;
@@ -556,9 +556,8 @@
   int next_place(Function& f) {  // the first of this router's places that may load and holds no copy yet
     place(f);
     const Request* r = head(f);
-    // Danger: calls that spill past the agreed places load copies there, which push out others, so all load:
-    // it stays so when the burst is gone. Guards also against lost capacity. Harm: a call is held or refused
-    // though another worker has room; so those lost, failing or cold do not count, nor does a load in time.
+    // Danger: calls that spill past the agreed places load copies there, which push out others, so all load.
+    // Harm: a call waits though another has room; those lost or cold do not count, nor does a load in time.
     const bool in_time = now_ + Millis(load_of(f) + base_of(f)) <= r->aim_at;
     int met = 0;
     for (const int index : f.places) {
@@ -578,7 +577,6 @@
     Copy& c = copy_at(f, index);
     if (c.loading > 0) return;
     Request* r = head(f);  // callers have seen that one is held
-    // With many routers the agreed place is most likely warm; with few this would be a load past the window.
     const bool rationed = !s_.orders || !may_order();
     if (s_.miss_is_answered ? r->attempts.empty() && !f.missed : shared() || rationed) {
       if (!may_send(*r, w)) return;
@@ -643,8 +641,7 @@
     if (!cold(w)) return true;
     const double age = w.lost ? 0 : std::max(0.0, (now_ - std::max(w.started, w.died)) / s_.cold_for);
     const double share = s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age);
-    // Danger: what one of many gets served by a warm worker is only a part of what that can do; a fleet half
-    // replaced then queues at its old half. Many take their part of the worker's cores.
+    // Danger: what one of many gets from a warm worker is part of what that can do; many part its cores.
     const double work = cold_work(r);
     const double part = shared() ? w.weight / s_.routers : fleet_rate();
     const double pace = kColdSafety * s_.cold_multiple * share * part;
@@ -704,8 +701,7 @@
     return left.count() > 0 ? std::min(left * (0.5 + chance()), s_.max_retry_after) : s_.max_retry_after;
   }
   // Danger: calls held past their aims take the lanes of calls that could meet theirs, and all are late. They
-  // end at once. Guards against any overload, slow store or lost capacity. Harm: an idle spell just after
-  // would have served them late; so what a load of ours is on the way for stays.
+  // end at once, but for those that a load of ours is on the way for.
   void shed(Function& f) {
     const auto loads = [](const Copy& c) { return c.loading > 0; };
     const bool loading = std::any_of(f.copies.begin(), f.copies.end(), loads);
@@ -729,8 +725,7 @@
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
     r.aim_at = c != nullptr && c->aim.count() > 0 ? std::min(r.deadline, now_ + c->aim) : r.deadline;
-    // Danger: a client's later try looks new, though its aim has passed. It is given what is left of the
-    // class's deadline: less than a first try, or more.
+    // Danger: a client's later try looks new, though its aim has passed: it is given less than a first, or more.
     ClassRecord& record = classes_[slot(r.cls)];
     const bool later = std::abs((e.expires_in - record.first_try).count()) > (2 * s_.tick).count();
     record.first_tries = std::min(record.first_tries + (later ? -1 : 1), kFirstTries);
@@ -859,6 +854,10 @@
     if (!live_ || found == function_index_.end() || w == nullptr) return;
     Function& f = *found->second;
     Copy& c = copy_at(f, index_of(*w));
+    if (w->asked_of == e.function && w->doubted > kNever && c.loading == 0) {
+      if (e.outcome == Outcome::ok) c.standing = std::min(std::max(e.copies, 0), 16);
+      return answered(*w, e.outcome == Outcome::full || e.outcome == Outcome::error ? Outcome::ok : e.outcome);
+    }
     if (c.loading > 0) {
       end_load(c);
       if (e.outcome == Outcome::ok) note_load(f, std::max(e.elapsed.count(), 1.0));
@@ -922,8 +921,7 @@
       for (auto& w : workers_) w.classes[slot(places[i])] = Health();
       ClassRecord& record = classes_[slot(places[i])];
       record = same != before.end() ? classes_[slot(same->second)] : ClassRecord();
-      // Danger: a router with few answers takes the first, slow for a load or a queue, for the usual, holds
-      // every aim for missed and refuses all that is not at once warm. An aim tells about what a run takes.
+      // Danger: a router takes its first answers, slow for a load, for the usual, and every aim for missed.
       if (!shared() || record.run.known() || c.aim.count() <= 0) continue;
       record.base = c.aim.count() / kAimRuns;
       record.run = {record.base, kAimSamples};
@@ -933,17 +931,20 @@
   void on(const event::Probed& e) {
     Worker* w = find_worker(e.worker);
     if (!live_ || w == nullptr) return;
-    const Millis asked = std::exchange(w->doubted, kNever);
-    if (e.outcome == Outcome::ok) {
-      note_alive(*w);
-      read_report(*w, e.report);
-    } else if (asked > kNever && e.outcome != Outcome::timeout) {
+    if (e.outcome == Outcome::ok) read_report(*w, e.report);
+    answered(*w, e.outcome);
+  }
+  void answered(Worker& w, Outcome outcome) {  // what was asked of a worker in doubt
+    const Millis asked = std::exchange(w.doubted, kNever);
+    if (outcome == Outcome::ok) {
+      note_alive(w);
+    } else if (asked > kNever && outcome != Outcome::timeout) {
       // Danger: new connections are reset as well; what has answered meanwhile runs.
-      if (w->answered > asked) return;
-      if (++w->probes_lost < kProbesLost) return ask(*w);
-      unreachable(*w, w->doubted_reset);
-    } else if (!alive(*w)) {
-      lose(*w);
+      if (w.answered > asked) return;
+      if (++w.probes_lost < kProbesLost) return ask(w);
+      unreachable(w, w.doubted_reset);
+    } else if (!alive(w)) {
+      lose(w);
     }
   }
   void on(const event::Stop&) { *this = State(); }
@@ -967,13 +968,13 @@
     for (auto& f : functions_) shed(*f);
     prune();
   }
-  // Danger: a silent worker answers nothing till the deadline. A call out far too long is a failure at once.
+  // Danger: a silent worker answers nothing till the deadline.
   void find_lost() {
     for (auto& [serial, r] : requests_) {
       if (r.done || r.streaming || !r.out()) continue;
       Attempt& a = r.attempts.back();
       Worker& w = at(a.worker);
-      // Danger: a copy believed by agreement may be loading still; its calls are slow, not lost.
+      // A copy believed by agreement may be loading still: its calls are slow, not lost.
       const double load = copy_at(*r.function, a.worker).proven ? 0 : load_of(*r.function) * kPatience;
       const Millis run = patience(base_of(*r.function) * std::max(1.0, stretch_of(w)));
       if (now_ - a.sent <= run + Millis(load)) continue;
@@ -990,15 +991,14 @@
       if (c.busy > 0) c.used = now_;
       if (!warm(c)) c.standing = 0;
       c.proven = c.proven && c.standing > 0;
-      // Danger: an order whose answer is lost or late would keep its function waiting for ever.
-      const Millis most(kPatience * std::max(load_of(f), kSilence.count()));
+      const Millis most(  // an order whose answer is lost would keep its function waiting for ever
+          kPatience * std::max(load_of(f), kSilence.count()));
       if (c.loading > 0 && now_ - c.load_began > most) end_load(c);
     }
     const auto empty = [&](const Copy& c) { return c.standing + c.loading + c.busy == 0 && !absent(c); };
     f.copies.erase(std::remove_if(f.copies.begin(), f.copies.end(), empty), f.copies.end());
   }
-  // Danger: ids of workers never come back; kept for good, each deploy would leave some behind. What still
-  // names a place ends well before it is given to another.
+  // Danger: ids of workers never come back; kept for good, each deploy would leave some behind.
   void prune_workers() {
     for (auto& w : workers_) {
       const bool unused = w.state == WorkerState::gone && w.inflight == 0 && now_ - w.gone > kForget;
