L is learnt from orders that loaded; calls spill to few places where a miss loads

L came to a third of what loads take: E was above 0 for every queue, and orders were taken for lost before they ended.

Change: an order answered within 50 ms is no sample of L; with few routers too a call past its aim goes no further than twice the agreed places where a miss loads; six loads at once in place of four. A call whose worker is silent gets a second copy beside it where the settings allow one, in place of being called off.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -106,7 +106,7 @@
 }
 
 void Dispatcher::end_keyed(const Open& open) {
-  if (open.keyed()) keys_.end(open.call, key_rule(*open.cls));
+  if (open.keyed()) keys_.end(open.call, key_rule(*open.cls), clock_());
 }
 
 void Dispatcher::leave(CallId id) {
--- a/src/core/keys.cpp
+++ b/src/core/keys.cpp
@@ -80,20 +80,21 @@
   sent.erase(std::remove_if(sent.begin(), sent.end(), same), sent.end());
 }
 
-void Keys::end(const Call& call, const KeyRule& rule) {
+void Keys::end(const Call& call, const KeyRule& rule, Millis now) {
   const auto found = records_.find(name_of(call));
   if (found == records_.end()) return;
   Record& record = found->second;
   if (--record.open > 0) return;
-  const auto since = first(record);
-  // Past its window for as long again: a try that comes too late is known to, and is not run. Only the first
-  // send and where sends went matter from now on.
-  if (!since) {
+  // Danger: hosts drop repeats for a window from when each of them ran it. Forgotten sooner, the key would be
+  // taken for a new one while some still do and others do not.
+  Millis last = record.before.value_or(Millis(0));
+  for (const auto& sent : record.sent) last = std::max(last, sent.when);
+  const Millis until = last + rule.window * 2;
+  if (!first(record) || until <= now) {
     records_.erase(found);
-    return;
+  } else if (std::exchange(record.kept_until, until) != until) {
+    ends_.emplace_back(until, found->first);
   }
-  const Millis until = *since + rule.window * 2;
-  if (std::exchange(record.kept_until, until) != until) ends_.emplace_back(until, found->first);
 }
 
 }  // namespace lotusyard::core
--- a/src/core/keys.h
+++ b/src/core/keys.h
@@ -41,7 +41,7 @@
   bool may_go(const Call& call, const KeyRule& rule, const Place& to, Millis now) const;
   void went_out(const Call& call, const Attempt& attempt, const Place& to, Millis now);
   void never_ran(const Call& call, const Attempt& attempt);  // shown by how it ended
-  void end(const Call& call, const KeyRule& rule);
+  void end(const Call& call, const KeyRule& rule, Millis now);
   std::size_t size() const { return records_.size(); }
 
  private:
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,8 +27,7 @@
 constexpr double kEjectShared = 3;    // with many routers so many times that: each calls there seldom
 constexpr double kErrorWide = 0.2;    // a class that fails so often everywhere tells of no worker
 constexpr Millis kEjectMost{8000};    // longest exclusion: spells last tens of seconds
-constexpr Millis kForget{60000};      // records nobody asked for in this time are dropped
-constexpr Millis kForgetNew{5000};    // those of functions that no worker has served yet
+constexpr Millis kForget{60000}, kForgetNew{5000};  // unused records are dropped; new: never served yet
 constexpr std::size_t kFunctionsMost = 4096;  // and so many are known at most: any name may be called
 constexpr double kRunGain = 0.1;      // EWMA gain of R: about the last ten answers
 constexpr double kLoadGain = 0.3;     // EWMA gain of L: loads are few
@@ -42,16 +41,16 @@
 constexpr double kEasy = 2;           // a stretch up to this is chance: service times vary
 constexpr double kFullStretch = 6;    // a worker that turns a call away counts as stretched this much
 constexpr double kBaseDrift = 1.002;  // the unloaded R may grow this much an answer: work changes in time
-constexpr double kAimRuns = 5;     // an aim is about so many runs, till answers tell
-constexpr int kAimSamples = 5;     // and counts as so many of them
+constexpr int kAimRuns = 5, kAimSamples = 5;  // an aim is so many runs till answers tell, and weighs so much
 constexpr double kFirstMost = 2;   // a function's first answers tell of an R of at most so many usual
 constexpr int kFirstTries = 30;    // a vote on what a first try is given goes on for so many
 constexpr double kLimitFirst = 6;  // own calls at one worker at first; adapts by AIMD
 constexpr double kLimitMost = 64;  // own calls at one worker at most: no known worker does more at once
 constexpr double kCrowded = 2;     // a stretch past this says that the worker's cores are oversubscribed
 constexpr Millis kBackOff{60};        // after a refusal of a worker: some service times
-constexpr double kShared = 20;          // with so many routers a function's agreed place is most likely warm
-constexpr int kLoadsOut = 4;           // a router's loads at once: more make a slow store slower
+constexpr double kShared = 20;        // with so many routers a function's agreed place is most likely warm
+constexpr int kLoadsOut = 6;           // a router's loads at once: more make a slow store slower
+constexpr Millis kStood{50};        // an order answered sooner found its copies standing: no load is so short
 constexpr double kPatience = 3;     // a load this many times the usual is no longer waited for
 constexpr double kSilentRuns = 6;   // a call out for this many usual runs is taken as lost, if that is longer
 constexpr double kAtOnce = 4;       // calls that a worker serves at once till its reports tell: more wait
@@ -117,6 +116,7 @@
   AttemptState state = AttemptState::out;
   bool lost = false;  // out for so long that it counts as unanswered
 };
+bool is_out(const Attempt& a) { return a.state == AttemptState::out; }
 struct Request {
   std::string id;
   std::uint64_t serial = 0;
@@ -126,7 +126,7 @@
   bool done = false, streaming = false;
   std::vector<Attempt> attempts;
   bool missed() const { return !attempts.empty() && attempts.back().state == AttemptState::never_ran; }
-  bool out() const { return !attempts.empty() && attempts.back().state == AttemptState::out; }
+  int out() const { return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), is_out)); }
 };
 
 }  // namespace
@@ -227,14 +227,14 @@
   }
   void forget_copies(int index) {
     for (auto& f : functions_) {
-      if (Copy* c = find_copy(*f, index)) {
-        c->standing = 0;
-        end_load(*c);
-      }
+      Copy* c = find_copy(*f, index);
+      if (c == nullptr) continue;
+      c->standing = 0;
+      end_load(*c);
     }
   }
-  // Danger: ten calls crowd two cores and leave most of twenty-four idle: taken for crowded, those get needless
-  // copies. Read off all workers together: one alone would be taken for small until it had told enough.
+  // Danger: ten calls crowd two cores and leave most of twenty-four idle; taken for crowded, an idle fleet
+  // gets needless copies. Read off all workers: one alone would be taken for small until it had told enough.
   double at_once(const Worker& w) const {
     if (busy_ <= 0) return kAtOnce;
     return std::min(std::max(kAtOnce, kSizeEasy * w.weight * held_ / busy_), kLimitMost);
@@ -319,8 +319,8 @@
     w.cold_filled = kNever;
   }
   double fleet_rate() const {  // what this router gets served by a warm worker, for each millisecond
-    const auto is_warm = [&](const Worker& w) { return w.state == WorkerState::ready && !cold(w); };
-    const auto all = static_cast<double>(std::count_if(workers_.begin(), workers_.end(), is_warm));
+    double all = 0;
+    for (const auto& w : workers_) all += w.state == WorkerState::ready && !cold(w);
     const double served = served_ * fading(served_at_, kRateTau) / kRateTau.count();
     return all > 0 && served > 0 ? served / all : 1.0 / s_.routers;
   }
@@ -359,8 +359,8 @@
   }
 
   // ---- Places ------------------------------------------------------------------------------------------
-  // Each router sees a sliver of a function's calls. All hash it to the same few workers (rendezvous), so that
-  // one's copy serves the others, and each uses them in an order of its own.
+  // Each router sees a sliver of a function's calls. All hash it to the same few workers (rendezvous), so
+  // that one's copy serves the others, and each uses them in an order of its own.
   double demand(const Function& f) const {  // this router's calls of the function in service at once
     const Millis span = std::min(kDemandTau, std::max(kDemandLeast, now_ - f.born));
     const double lately = f.arrivals * fading(f.seen, kDemandTau);
@@ -410,9 +410,8 @@
   }
   Request* head(Function& f) {  // the first that can still meet its aim, else the first
     if (f.queue.empty()) return nullptr;
-    const auto fits = [&](std::uint64_t serial) { return in_aim(requests_.at(serial)); };
-    const auto found = std::find_if(f.queue.begin(), f.queue.end(), fits);
-    return &requests_.at(found == f.queue.end() ? f.queue.front() : *found);
+    for (const auto serial : f.queue) { if (in_aim(requests_.at(serial))) return &requests_.at(serial); }
+    return &requests_.at(f.queue.front());
   }
   void hold(Request& r, bool front) {
     auto& queue = r.function->queue;
@@ -457,8 +456,7 @@
   }
   double queued_after_load(const Function& f, int k) const {  // E of equations 6 and 7, V = 0
     const double held = static_cast<double>(f.queue.size()), run = run_of(f);
-    if (k == 0) return held;
-    // Danger: a slow store inflates L and strands what is held. L counts at most as what the aim leaves.
+    if (k == 0) return held;  // L is at most what the aim leaves: a slow store would strand what is held
     const double aim = f.cls >= 0 ? s_.classes[static_cast<std::size_t>(f.cls)].aim.count() : 0;
     const double load = aim > 0 ? std::min(load_of(f), std::max(aim - run, run)) : load_of(f);
     if (run <= 0 || load <= 0) return 0;  // not sampled: load only if nothing is warm
@@ -562,7 +560,7 @@
     int met = 0;
     for (const int index : f.places) {
       Worker& w = at(index);
-      if (shared() && !s_.miss_is_answered && !in_time && met > kSpill * f.agreed) return -1;
+      if (!s_.miss_is_answered && !in_time && met > kSpill * f.agreed) return -1;
       if (usable(w) && serves(w, f.cls) && !cold(w)) ++met;
       if (!may_load(w) || !serves(w, f.cls) || !has_room(w)) continue;
       const Copy* c = find_copy(f, index);
@@ -623,15 +621,16 @@
       if (now_ - a.sent + s_.tick > c->key_window) return false;
       if (c->scope == KeyScope::all) continue;
       const Worker& first = at(a.worker);
-      if (to == nullptr) return false;
-      if (c->scope == KeyScope::zone ? to->zone != first.zone : to->cell != first.cell) return false;
+      if (to == nullptr || (c->scope == KeyScope::zone ? to->zone != first.zone : to->cell != first.cell))
+        return false;
     }
     return true;
   }
   bool has_room(const Worker& w) const { return w.inflight < w.limit && now_ >= w.full_until; }
   bool may_send(const Request& r, Worker& w) {
     if (r.done || r.streaming || now_ >= r.deadline) return false;
-    if (static_cast<int>(r.attempts.size()) >= r.max_attempts || (!s_.second_copies && r.out())) return false;
+    if (static_cast<int>(r.attempts.size()) >= r.max_attempts || r.out() > s_.second_copies) return false;
+    for (const auto& a : r.attempts) { if (is_out(a) && &at(a.worker) == &w) return false; }
     return usable(w) && serves(w, r.cls) && may_repeat(r, &w) && may_warm(r, w);
   }
   // Rule 4. A cold worker is sent the stated multiple of its present share of what this router gets served by
@@ -703,8 +702,8 @@
   // Danger: calls held past their aims take the lanes of calls that could meet theirs, and all are late. They
   // end at once, but for those that a load of ours is on the way for.
   void shed(Function& f) {
-    const auto loads = [](const Copy& c) { return c.loading > 0; };
-    const bool loading = std::any_of(f.copies.begin(), f.copies.end(), loads);
+    bool loading = false;
+    for (const auto& c : f.copies) loading = loading || c.loading > 0;
     for (const auto serial : std::vector<std::uint64_t>(f.queue.begin(), f.queue.end())) {
       Request& r = requests_.at(serial);
       const bool too_late = now_ + Millis(base_of(f)) > r.deadline;
@@ -725,7 +724,7 @@
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
     r.aim_at = c != nullptr && c->aim.count() > 0 ? std::min(r.deadline, now_ + c->aim) : r.deadline;
-    // Danger: a client's later try looks new, though its aim has passed: it is given less than a first, or more.
+    // Danger: a client's later try looks new, though its aim has passed: it is given less than the first.
     ClassRecord& record = classes_[slot(r.cls)];
     const bool later = std::abs((e.expires_in - record.first_try).count()) > (2 * s_.tick).count();
     record.first_tries = std::min(record.first_tries + (later ? -1 : 1), kFirstTries);
@@ -735,22 +734,20 @@
     } else if (c != nullptr && later) {
       r.aim_at = std::min(r.aim_at, r.deadline - c->deadline + c->aim);
     }
-    const Millis last = r.deadline - s_.tick - now_;
-    if (last.count() <= 0) return give_up(r);
-    act(action::SetTimer{last, r.serial});
+    if (now_ >= r.deadline - s_.tick) return give_up(r);
+    act(action::SetTimer{r.deadline - s_.tick - now_, r.serial});
     hold(r, false);
     consider(*r.function);  // the arrival stands in the queue already: N + 1 is its length
     welcome(*function_index_.at(e.function));
   }
   Function& function_of(const event::Request& e, int cls) {
-    auto [slot, fresh] = function_index_.try_emplace(e.function, nullptr);
-    if (fresh) {
-      functions_.push_back(std::make_unique<Function>());
-      slot->second = functions_.back().get();
-      slot->second->id = e.function;
-      slot->second->born = now_;
+    auto& place = function_index_[e.function];
+    if (place == nullptr) {
+      place = functions_.emplace_back(std::make_unique<Function>()).get();
+      place->id = e.function;
+      place->born = now_;
     }
-    Function& f = *slot->second;
+    Function& f = *place;
     f.cls = cls;
     f.lanes = std::min(std::max(e.lanes, 1), 1024);
     if (e.load_hint) f.load_hint = std::max(e.load_hint->count(), 0.0);
@@ -842,9 +839,9 @@
   }
   void try_again(Request& r) {
     const bool spent = static_cast<int>(r.attempts.size()) >= r.max_attempts;
-    const auto fit = [&](const Worker& w) { return may_repeat(r, &w); };
-    const bool any = std::any_of(workers_.begin(), workers_.end(), fit);
-    if (spent || (!any && !may_repeat(r, nullptr)) || !worth_holding(r)) return give_up(r);
+    bool any = may_repeat(r, nullptr);
+    for (const auto& w : workers_) any = any || may_repeat(r, &w);
+    if (spent || !any || !worth_holding(r)) return give_up(r);
     hold(r, true);
   }
 
@@ -856,17 +853,19 @@
     Copy& c = copy_at(f, index_of(*w));
     if (w->asked_of == e.function && w->doubted > kNever && c.loading == 0) {
       if (e.outcome == Outcome::ok) c.standing = std::min(std::max(e.copies, 0), 16);
-      return answered(*w, e.outcome == Outcome::full || e.outcome == Outcome::error ? Outcome::ok : e.outcome);
+      const bool runs = e.outcome == Outcome::full || e.outcome == Outcome::error;
+      return answered(*w, runs ? Outcome::ok : e.outcome);
     }
     if (c.loading > 0) {
       end_load(c);
-      if (e.outcome == Outcome::ok) note_load(f, std::max(e.elapsed.count(), 1.0));
+      // Danger: an order that found its copies standing tells of no load; averaged in, L comes to nothing.
+      if (e.outcome == Outcome::ok && e.elapsed > kStood) note_load(f, e.elapsed.count());
       // Danger: orders that fail at once would go out at every sweep, to one worker after the other.
       if (e.copies == 0) f.order_after = now_ + kSilence;
       if (e.copies > 0) f.missed = false;
     }
-    if (e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset) {
-      doubt(*w, e.outcome == Outcome::reset);
+    if (const bool reset = e.outcome == Outcome::reset; reset || e.outcome == Outcome::connect_failed) {
+      doubt(*w, reset);
     } else if (e.outcome != Outcome::timeout) {
       c.standing = std::min(std::max(e.copies, 0), 16);
       c.proven = c.standing > 0;
@@ -878,9 +877,8 @@
   void on(const event::Left& e) {
     Request* r = find_request(e.id);
     if (r == nullptr) return;
-    for (std::size_t i = 0; s_.cancel && !r->streaming && i < r->attempts.size(); ++i) {
-      if (r->attempts[i].state == AttemptState::out) act(action::Cancel{e.id, static_cast<int>(i)});
-    }
+    for (std::size_t i = 0; s_.cancel && !r->streaming && i < r->attempts.size(); ++i)
+      if (is_out(r->attempts[i])) act(action::Cancel{e.id, static_cast<int>(i)});
     finish(*r);
   }
   void on(const event::Peer&) {}  // routers do not talk
@@ -889,10 +887,8 @@
   // ---- Event dispatch ----------------------------------------------------------------------------------
   void on(const event::Start& e) {
     State fresh;
-    fresh.out_ = out_;
-    fresh.now_ = now_;
+    std::tie(fresh.out_, fresh.now_, fresh.live_) = std::tuple(out_, now_, true);
     *this = std::move(fresh);
-    live_ = true;
     random_.seed(e.settings.seed);
     on(event::Retune{e.settings});
     if (s_.ask_list) act(action::Watch{true});
@@ -971,8 +967,8 @@
   // Danger: a silent worker answers nothing till the deadline.
   void find_lost() {
     for (auto& [serial, r] : requests_) {
-      if (r.done || r.streaming || !r.out()) continue;
-      Attempt& a = r.attempts.back();
+      if (r.done || r.streaming || r.out() == 0) continue;
+      Attempt& a = *std::find_if(r.attempts.begin(), r.attempts.end(), is_out);
       Worker& w = at(a.worker);
       // A copy believed by agreement may be loading still: its calls are slow, not lost.
       const double load = copy_at(*r.function, a.worker).proven ? 0 : load_of(*r.function) * kPatience;
@@ -982,8 +978,13 @@
       if (a.lost) continue;
       a.lost = true;
       judge(w, r.cls, true);
-      if (!s_.cancel || !may_repeat(r, nullptr) || (usable(w) && serves(w, r.cls))) continue;
-      act(action::Cancel{r.id, static_cast<int>(r.attempts.size()) - 1});
+      if (!may_repeat(r, nullptr) || (usable(w) && serves(w, r.cls))) continue;
+      // A second copy beside it loses nothing of what the first may still bring.
+      if (Copy* second = s_.second_copies ? warm_lane(*r.function, r) : nullptr) {
+        send(r, *second);
+      } else if (s_.cancel) {
+        act(action::Cancel{r.id, static_cast<int>(&a - r.attempts.data())});
+      }
     }
   }
   void upkeep(Function& f) {
@@ -991,8 +992,7 @@
       if (c.busy > 0) c.used = now_;
       if (!warm(c)) c.standing = 0;
       c.proven = c.proven && c.standing > 0;
-      const Millis most(  // an order whose answer is lost would keep its function waiting for ever
-          kPatience * std::max(load_of(f), kSilence.count()));
+      const Millis most(kPatience * std::max(load_of(f), kSilence.count()));  // its answer may be lost
       if (c.loading > 0 && now_ - c.load_began > most) end_load(c);
     }
     const auto empty = [&](const Copy& c) { return c.standing + c.loading + c.busy == 0 && !absent(c); };
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -138,7 +138,8 @@
   Server<Peer, StandInHost> server;
   std::function<Reaction(const std::string& body)> react = [](const std::string&) { return Reaction(); };
   std::map<std::string, int> runs;  // by body: execs that may have run
-  int execs = 0, drops = 0, orders = 0, signs = 0;
+  int execs = 0, drops = 0, orders = 0, signs = 0, asks = 0;  // asks: orders for no copy
+  std::vector<std::string> fields;                           // of each exec
   bool mute = false;  // asked for a sign it gives none, as if cut off
 
  private:
@@ -149,11 +150,14 @@
     if (line.id == "health" && !mute) peer.write(line.word + " well - 0\r\n\r\n");
     if (line.id == "load") peer.write(line.word + " well l=inflight:1;util:0.5 0\r\n\r\n");
     if (line.id == "ensure") {
-      ++orders;
+      const bool asks_only = line.fields.find("count=0") != std::string::npos;
+      ++(asks_only ? asks : orders);
+      if (asks_only && mute) return;
       peer.write(line.word + " data count=1\r\n");
     }
     if (line.id != "exec") return;
     ++execs;
+    fields.push_back(line.fields);
     const Reaction reaction = react(line.body);
     if (reaction.kind != Reaction::reply || reaction.word == "data" || reaction.word == "failed")
       ++runs[line.body];
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -525,5 +525,83 @@
   CHECK(signs <= 6);  // what is saved up at first, and one for twenty attempts
 }
 
+core::Settings club_settings() {  // a keyed class, second copies, no probes, and hosts that load on a miss
+  core::Settings s = settings();
+  s.classes.push_back(s.classes[0]);
+  s.classes[2].name = "booking";
+  s.classes[2].semantics = robinfold::Semantics::keyed;
+  s.classes[2].key_window = Millis(15000);
+  s.probes = s.miss_is_answered = false;
+  s.second_copies = true;
+  s.max_attempts = 3;
+  return s;
+}
+
+// Failure found: the key stayed behind, and hosts got calls that were not as their clients had sent them.
+TEST_CASE("a client's key goes to hosts unchanged, on every attempt; a key that cannot is that call's fault") {
+  World world(2, club_settings());
+  resp::Front front(world.loop, world.pool, world.dispatcher, world.counters, {});
+  REQUIRE(front.listen("127.0.0.1:0"));
+  int failures = 0;
+  for (auto& host : world.host) {
+    host->react = [&](const std::string&) {
+      return failures++ == 0 ? Reaction{Kind::reply, "failed"} : Reaction();
+    };
+  }
+  Client c(world, front.address());
+  int refs = 0;
+  const auto call = [&](const char* cls, const std::string& more) {
+    const std::string tag = std::to_string(++refs);
+    c.say({"CALL", tag, cls,
+           "ref=" + net::hex16(static_cast<std::uint64_t>(refs)) +
+               ",allow=1000,lookup=00000000000000a1,spec=memory_mb:300;lanes:4" + more,
+           "x"});
+    REQUIRE(c.answer(tag) != nullptr);
+    return c.answer(tag)->at(1);
+  };
+  const std::string key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+  CHECK(call("booking", ",replay=" + key) == "OK");
+  std::vector<std::string> fields;
+  for (const auto& host : world.host) fields.insert(fields.end(), host->fields.begin(), host->fields.end());
+  REQUIRE(fields.size() == 2);  // the first failed, and may be tried again under its key
+  for (const auto& f : fields) CHECK(f.find(",op=" + key) != std::string::npos);
+  CHECK(call("bin-check", "") == "OK");
+  CHECK(call("booking", ",replay=" + key + ",dup=1") == "OK");
+  const int execs = world.host[0]->execs + world.host[1]->execs;
+  for (const std::string& bad :
+       {std::string(), std::string(",replay="), ",replay=" + std::string(200, 'a'),
+        std::string(",replay=a b"), std::string(",replay=\xFF\0", 10), ",replay=" + key + ",replay=" + key,
+        ",replay=" + key + ",dup=0", ",replay=" + key + ",dup=yes", ",replay=" + key + ",lookup=00000000000000a2"})
+    CHECK(call("booking", bad) == "FAILED");
+  CHECK(world.host[0]->execs + world.host[1]->execs == execs);
+  CHECK(call("bin-check", ",dup=1") == "OK");
+  CHECK(world.counters.value("calls.no_key") == 2);
+  CHECK(world.counters.value("calls.bad_key") == 3);
+}
+
+// Failure found: every connection on which a call waited for a load was asked by a probe that the settings
+// forbid, was not answered, and was ended with all its calls.
+TEST_CASE("what is asked of a silent connection is what the settings allow") {
+  const auto sign = GENERATE(hosts::Sign::health, hosts::Sign::order, hosts::Sign::none);
+  const bool mute = GENERATE(true, false);
+  hosts::Limits limits = World::limits();
+  limits.sign = sign;
+  World world(1, settings(), limits);
+  auto& host = *world.host[0];
+  host.mute = mute;
+  host.react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  core::Call call;
+  call.ref = net::hex16(1);
+  call.class_name = "bin-check";
+  call.function = 0xa1;
+  call.function_name = "00000000000000a1";
+  world.fleet.exec({1, 0}, "h0", call, Millis(5000));
+  const Millis began = world.loop.now();
+  world.turn_until([&] { return world.loop.now() - began > Millis(1500); }, 20000);
+  CHECK((host.signs > 0) == (sign == hosts::Sign::health));
+  CHECK((host.asks > 0) == (sign == hosts::Sign::order));
+  CHECK(world.counters.value("hosts.silent_links") == (mute && sign != hosts::Sign::none ? 1 : 0));
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -412,6 +412,85 @@
   }
 }
 
+// Failure found: where no probe is allowed every broken connection counted as its worker's death.
+TEST(Health, WithNoProbesAnOrderForNoCopyAsksWhetherTheWorkerRuns) {
+  for (const bool runs : {true, false}) {
+    Settings s = settings();
+    s.probes = s.miss_is_answered = false;
+    Router r(s);
+    r.list({entry("w1")});
+    r.request("a");
+    r.loaded("w1", 1, 1);
+    r.answer(r.sends.at(0), Outcome::ok);
+    r.request("b");
+    r.answer(r.sends.at(1), Outcome::reset);
+    EXPECT_TRUE(r.probes.empty());
+    ASSERT_EQ(r.asked, std::vector<std::string>{"w1"});
+    r.request("c");
+    EXPECT_EQ(r.sends.size(), 2U);  // nothing goes there until the order has told
+    for (const Outcome o : {Outcome::reset, Outcome::connect_failed, runs ? Outcome::ok : Outcome::reset})
+      r.loaded("w1", 1, runs ? 1 : 0, o);
+    EXPECT_EQ(r.asked.size(), 3U);
+    r.pass(50);
+    EXPECT_EQ(r.sends.size() > 2, runs);
+    EXPECT_EQ(r.loads.size(), 1U);
+  }
+}
+
+// Failure found: orders that found their copy standing took a millisecond, and L with them: every queue was
+// worth a load, all at once, for functions that stood elsewhere.
+TEST(Ordinary, AnOrderThatFoundItsCopyStandingTellsOfNoLoad) {
+  for (const double took : {1500.0, 1.0}) {
+    Settings s = settings();
+    s.tells_warm = false;
+    Router r(s);
+    r.list({entry("a"), entry("b"), entry("c")});
+    const auto serve = [&](std::uint64_t function) {  // one call, on a copy that an order has brought or found
+      const auto loads = r.loads.size();
+      r.request("f" + std::to_string(function), function, "safe", 4000, 1);
+      ASSERT_EQ(r.loads.size(), loads + 1);
+      r.give(event::Loaded{r.loads.back().worker, function, Outcome::ok,
+                           Millis(function == 1 ? 1500.0 : took), 1});
+      r.answer(r.sends.back(), Outcome::ok, 100, Warmth::untold);
+    };
+    for (std::uint64_t f = 1; f < 20; ++f) serve(f);
+    const auto loads = r.loads.size();
+    for (int i = 0; i < 5; ++i) r.request("q" + std::to_string(i), 19, "safe", 4000, 1);
+    EXPECT_EQ(r.loads.size(), loads) << took;  // four wait for a lane: a load takes fifteen runs
+  }
+}
+
+// Failure found: in an overload each crowded place sent its calls on to a further one, whose copies pushed out
+// those of others, till everything had to be loaded.
+TEST(Places, WhereAMissLoadsCallsDoNotSpillOverTheFleetWithFewRouters) {
+  Settings s = settings();
+  s.miss_is_answered = s.tells_warm = false;
+  s.reports = ReportMode::answers;
+  s.report_fields = {ReportField::inflight};
+  Router r(s);
+  std::vector<WorkerEntry> workers;
+  for (int i = 0; i < 12; ++i) workers.push_back(entry("w" + std::to_string(i)));
+  r.list(workers);
+  std::size_t loads = 0, sends = 0;
+  std::set<std::string> places;
+  for (int i = 0; i < 40; ++i) {  // all workers hold many calls of others
+    r.request("x" + std::to_string(i), 1, "safe", 4000, 8);
+    for (; loads < r.loads.size(); ++loads) {
+      places.insert(r.loads[loads].worker);
+      r.give(event::Loaded{r.loads[loads].worker, 1, Outcome::ok, Millis(1500), 1});
+    }
+    for (; sends < r.sends.size(); ++sends) {
+      const auto& send = r.sends[sends];
+      r.answered.insert(send.id);
+      r.give(event::Answer{send.id, send.worker, 0, Outcome::ok, Warmth::untold, 0, true, Millis(100),
+                           std::vector<double>{60}});
+    }
+    r.pass(100);
+  }
+  EXPECT_GE(places.size(), 2U);
+  EXPECT_LE(places.size(), 4U);
+}
+
 TEST(Peers, AnyContentIsHarmless) {
   Settings s = settings();
   s.peers = true;
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -68,6 +68,7 @@
         broken = broken || answered.count(send->id) > 0;
       } else if (const auto* load = std::get_if<action::Load>(&a)) {
         if (load->copies > 0) loads.push_back(*load);
+        if (load->copies == 0) asked.push_back(load->worker);
       } else if (const auto* refuse = std::get_if<action::Refuse>(&a)) {
         refused.push_back(refuse->id);
         advice.push_back(refuse->retry_after);
@@ -134,7 +135,7 @@
   std::vector<action::Send> sends;
   std::vector<action::Load> loads;
   std::vector<action::Cancel> cancels;
-  std::vector<std::string> refused, failed, probes;
+  std::vector<std::string> refused, failed, probes, asked;  // asked: by an order for no copy
   std::vector<Millis> advice;  // beside each refusal
   std::set<std::string> answered;
   std::map<std::string, int> legs;
