--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,7 +39,7 @@
 constexpr double kRemote = 1.15;      // another zone counts as this much busier
 constexpr double kEasy = 2;           // a stretch up to this is chance: service times vary
 constexpr double kFullStretch = 6;    // a worker that turns a call away counts as stretched this much
-constexpr double kBaseDrift = 1.02;  // the unloaded R may grow this much an answer: work changes in time
+constexpr double kBaseDrift = 1.02, kSharedDrift = 1.002;  // the unloaded R's growth an answer; shared: few come
 constexpr int kAimRuns = 5, kAimSamples = 5;  // an aim is so many runs till answers tell, and weighs so much
 constexpr double kFirstMost = 2;   // a function's first answers tell of an R of at most so many usual
 constexpr int kFirstTries = 30;    // a vote on what a first try is given goes on for so many
@@ -829,8 +829,8 @@
       default: break;
     }
   }
-  static void drift(double& base, double run, double most) {  // most: of the first
-    base = std::min(base > 0 ? base * kBaseDrift : most, run);
+  void drift(double& base, double run, double most) {  // most: of the first
+    base = std::min(base > 0 ? base * (shared() ? kSharedDrift : kBaseDrift) : most, run);
   }
   void end_load(Copy& c) { loads_out_ -= std::exchange(c.loading, 0); }
   void note_load(Function& f, double ms) {
