AMQP: a keyed call goes out under its header key or its id, redelivered only in its window

Need: the second front had no property for the key, so that a keyed class could not be used over it. The key is the header key, by default message_id, which already names the same call however often it comes. A redelivered one may have run at another process: only its timestamp shows whether the window is still open; without one it is failed, as a call that must not run twice is.

Measured: a test over the stand-in broker: both keys reach the host, an untold and an old redelivery do not run.

Ruled out: counting the window from the redelivery, which lets a call run again after hosts have forgotten it.

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -132,6 +132,10 @@
   out.effort = net::parse_number(text_of(headers, "effort"));
   out.memory_mb = megabytes.value_or(0);
   out.lanes = static_cast<int>(at_once.value_or(1));
+  // The id stands for the same call however often it comes, as a key does.
+  const std::string key = text_of(headers, "key");
+  if (cls->semantics == robinfold::Semantics::keyed)
+    out.key = key.empty() ? delivery.properties.message_id : key;
   out.arrived = loop_.turn_began();
   out.allow = allowed ? Millis(static_cast<double>(*allowed)) : cls->deadline;
   return true;
@@ -178,6 +182,15 @@
     refuse_call(id, once, Verdict::failed, "amqp.may_have_run");
     return answer_delivery(id, tag, address, delivery.redelivered);
   }
+  // Danger: a keyed call that ran elsewhere may be past its window: only when it was published shows that it
+  // is not.
+  if (cls->semantics == robinfold::Semantics::keyed && delivery.redelivered) {
+    if (!p.timestamp || *p.timestamp > UINT32_MAX) {
+      refuse_call(id, once, Verdict::failed, "amqp.may_have_run");
+      return answer_delivery(id, tag, address, delivery.redelivered);
+    }
+    call.ran_since = std::min(Millis(static_cast<double>(*p.timestamp) * 1000), call.arrived);
+  }
   if (running_.size() >= limits_.open_calls) {
     refuse_call(id, once, Verdict::refused, "amqp.too_many_open");
     return answer_delivery(id, tag, address, delivery.redelivered);
--- a/tests/lotusyard/clubs_test.cpp
+++ b/tests/lotusyard/clubs_test.cpp
@@ -188,7 +188,8 @@
     wanted.push_back(t);
     send(wanted.back());
     for (auto& other : wanted) retry(other);
-    if (wanted.size() % 100 == 0) fleet[below(random, 5)]->slow = 1.0 + static_cast<double>(below(random, 12));
+    if (wanted.size() % 100 != 0) continue;
+    fleet[below(random, 5)]->slow = 1.0 + static_cast<double>(below(random, 12));
   }
   const auto settled = [&] {
     for (auto& t : wanted) retry(t);
--- a/tests/lotusyard/triggers_test.cpp
+++ b/tests/lotusyard/triggers_test.cpp
@@ -127,6 +127,38 @@
   CHECK(t.world.host[0]->execs == 1);
 }
 
+TEST_CASE("a keyed call goes out under its key or its id; redelivered, only while its window is open") {
+  core::Settings s = settings();
+  s.classes[0].semantics = robinfold::Semantics::keyed;
+  s.classes[0].key_window = Millis(15000);
+  Triggers t(1, 1, {}, s);
+  t.broker.send("plain", "bin-check", "x");
+  t.broker.send("named", "bin-check", "y", {{"key", std::string("k-1")}});
+  t.broker.send("no key can be made of this", "bin-check", "z");
+  REQUIRE((t.answered("plain") && t.answered("named") && t.answered("no key can be made of this")));
+  CHECK(word_of(t.broker.held["c-plain"][0]) == "OK");
+  CHECK(word_of(t.broker.held["c-no key can be made of this"][0]) == "FAILED");
+  REQUIRE(t.world.host[0]->fields.size() == 2);
+  std::string all = t.world.host[0]->fields[0] + ' ' + t.world.host[0]->fields[1];
+  CHECK(all.find("op=plain,") != std::string::npos);
+  CHECK(all.find("op=k-1,") != std::string::npos);
+  const auto now = static_cast<std::uint64_t>(t.world.loop.now().count() / 1000);
+  for (const auto& [id, published] : std::map<std::string, std::optional<std::uint64_t>>{
+           {"untold", std::nullopt}, {"young", now - 5}, {"old", now - 16}}) {
+    StandInBroker::Message m;
+    m.properties.message_id = id;
+    m.properties.correlation_id = "c-" + id;
+    m.properties.reply_to = "answers";
+    m.properties.timestamp = published;
+    m.properties.headers = {{"class", std::string("bin-check")}, {"lookup", std::string("00000000000000a1")}};
+    m.redelivered = true;
+    t.broker.put(std::move(m));
+    REQUIRE(t.answered(id));
+    CHECK(word_of(t.broker.held["c-" + id][0]) == (id == "young" ? "OK" : "FAILED"));
+  }
+  CHECK(t.world.host[0]->execs == 3);
+}
+
 TEST_CASE("a consumer gone mid-answer: the call runs once and its redelivery gets the one answer") {
   Triggers t(1);
   bool running = false;
