--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,7 +39,7 @@
 constexpr double kRemote = 1.15;      // another zone counts as this much busier
 constexpr double kEasy = 2;           // a stretch up to this is chance: service times vary
 constexpr double kFullStretch = 6;    // a worker that turns a call away counts as stretched this much
-constexpr double kBaseDrift = 1.02, kSharedDrift = 1.002;  // the unloaded R's growth an answer; shared: few come
+constexpr double kBaseDrift = 1.02, kSharedDrift = 1.002;  // growth of the unloaded R an answer; shared: few
 constexpr int kAimRuns = 5, kAimSamples = 5;  // an aim is so many runs till answers tell, and weighs so much
 constexpr double kFirstMost = 2;   // a function's first answers tell of an R of at most so many usual
 constexpr int kFirstTries = 30;    // a vote on what a first try is given goes on for so many
