The module stands in files by what is decided

Need: policy.cpp was one class of 900 lines; a reader could not tell what one decision may use of another.

Weighed: one class over several files (a declaration for each function, no order among files), free functions over one record (longer signatures than bodies).

--- a/src/average.h
+++ b/src/average.h
@@ -1,4 +1,4 @@
-// Arithmetic that policy.cpp uses; it decides nothing and holds no tuned value.
+// Arithmetic that policy/ uses; it decides nothing and holds no tuned value.
 #pragma once
 
 #include <algorithm>
