--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -16,8 +16,8 @@
           environment("BALANCER_LISTEN_FD")};
 }
 
-int run(const std::string& file, const StoreMaker& make_store) {
-  Invoker(file, make_store).run();
+int run(const std::string& file, const StoreMaker& make_store, const CompanionMaker& make_companion) {
+  Invoker(file, make_store, make_companion).run();
   return 0;
 }
 
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -7,7 +7,12 @@
 
 #include "answers/store.h"
 #include "config/config.h"
+#include "console/door.h"
 #include "core/counters.h"
+#include "core/dispatcher.h"
+#include "hosts/fleet.h"
+#include "membership/membership.h"
+#include "net/loop.h"
 
 namespace lotusyard {
 
@@ -15,8 +20,30 @@
 using StoreMaker = std::function<std::unique_ptr<answers::Store>(const config::AmqpConfig&, core::Millis now,
                                                                  core::Counters&)>;
 
+// The parts of an invoker that something more in the process may work with. All outlive it.
+struct Wiring {
+  net::Loop& loop;
+  core::Counters& counters;
+  membership::Membership& membership;
+  hosts::Fleet& fleet;
+  std::function<const core::Settings&()> settings;  // those in force
+  std::string name;
+};
+
+// What a program adds to an invoker; the platform's adds nothing.
+class Companion {
+ public:
+  virtual ~Companion() = default;
+  virtual bool ready() const = 0;                          // whether calls may come
+  virtual bool may_send(const std::string& host) = 0;      // asked before anything new goes to a host
+  virtual void before_writes() = 0;                        // in each turn, once all is decided
+  virtual void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) = 0;
+  virtual std::optional<console::Said> asked(const console::Request& request) = 0;  // at the operators' door
+};
+using CompanionMaker = std::function<std::unique_ptr<Companion>(const Wiring&, const nlohmann::json& file)>;
+
 std::string environment(const char* name);  // empty if it is not set
 config::Environment read_environment();
-int run(const std::string& file, const StoreMaker& make_store);
+int run(const std::string& file, const StoreMaker& make_store, const CompanionMaker& make_companion = {});
 
 }  // namespace lotusyard
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -95,7 +95,7 @@
 
 }  // namespace
 
-Invoker::Invoker(std::string file, const StoreMaker& make_store)
+Invoker::Invoker(std::string file, const StoreMaker& make_store, const CompanionMaker& make_companion)
     : file_(std::move(file)),
       signals_(loop_),  // first: no signal may end the program while it starts
       outline_(read_file(file_)),
@@ -118,13 +118,18 @@
   fleet_.attach(dispatcher_);
   outline_ = config::outline(std::move(outline_));
   if (!folder_.empty()) look();  // before any host is named: none may be used that is out
+  join_companion(make_companion);  // before any host is named, too
   follow_list();
   listen();
   take_triggers(make_store);
   open_door();
 }
 
-Invoker::~Invoker() { loop_.cancel(look_); }
+Invoker::~Invoker() {
+  loop_.cancel(look_);
+  fleet_.ask_before({});
+  dispatcher_.watch({});
+}
 
 takeover::Shares Invoker::shares() const {
   return takeover::shares_of(config_->memory_mb, config_->sockets, standing_);
@@ -176,6 +181,18 @@
   std::cout << "lotusyard " << config_->name << " listens on " << config_->listen << std::endl;
 }
 
+void Invoker::join_companion(const CompanionMaker& make_companion) {
+  if (!make_companion) return;
+  const auto settings = [this]() -> const core::Settings& { return dispatcher_.settings(); };
+  companion_ =
+      make_companion({loop_, counters_, membership_, fleet_, settings, config_->name}, read_file(file_));
+  if (!companion_) return;
+  fleet_.ask_before([this](const std::string& host) { return companion_->may_send(host); });
+  dispatcher_.watch([this](const std::string& host, const core::Call& call, core::Outcome outcome) {
+    companion_->attempt_ended(host, call, outcome);
+  });
+}
+
 void Invoker::open_door() {
   if (config_->console.empty()) return;
   door_.emplace(loop_, counters_, static_cast<console::Operations&>(*this), shares().callers);
@@ -250,7 +267,13 @@
   }
 }
 
-bool Invoker::ready() const { return front_.listening() && !ending(); }
+bool Invoker::ready() const {
+  return front_.listening() && !ending() && (!companion_ || companion_->ready());
+}
+
+std::optional<console::Said> Invoker::other(const console::Request& request) {
+  return companion_ ? companion_->asked(request) : std::nullopt;
+}
 
 console::Done Invoker::disable(const std::string& host) {
   if (!membership_.known(host)) return console::Done::unknown_host;
@@ -299,7 +322,10 @@
   while (true) {
     Millis due = dispatcher_.next_due();
     if (ending()) due = std::min(due, loop_.now() + kTurnMost);
-    loop_.turn(due, [this] { dispatcher_.tick(); });
+    loop_.turn(due, [this] {
+      dispatcher_.tick();
+      if (companion_) companion_->before_writes();
+    });
     if (signals_.print()) counters_.print(std::cout);
     if (signals_.reread()) reread();
     if (signals_.terminate() && !ending()) begin_end();
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -25,7 +25,7 @@
 
 class Invoker final : private console::Operations {
  public:
-  Invoker(std::string file, const StoreMaker& make_store);
+  Invoker(std::string file, const StoreMaker& make_store, const CompanionMaker& make_companion);
   ~Invoker() override;
   void run();  // until it has been told to end, and has
 
@@ -49,6 +49,7 @@
   resp::Front front_;
   std::unique_ptr<answers::Store> store_;
   std::optional<amqp::Front> triggers_;
+  std::unique_ptr<Companion> companion_;
   std::optional<console::Door> door_;
   net::Loop::TimerId look_{};
   core::Millis told_to_end_{0};
@@ -59,6 +60,7 @@
   resp::Front::Limits front_limits() const;
   void follow_list();
   void listen();
+  void join_companion(const CompanionMaker& make_companion);
   void open_door();
   void take_triggers(const StoreMaker& make_store);
   void look();  // at what another process of this invoker has done
@@ -70,6 +72,7 @@
   bool ready() const override;
   console::Done disable(const std::string& host) override;
   console::Done enable(const std::string& host) override;
+  std::optional<console::Said> other(const console::Request& request) override;
 };
 
 }  // namespace lotusyard
--- a/src/console/door.cpp
+++ b/src/console/door.cpp
@@ -15,6 +15,7 @@
 const char* reason(int status) {
   switch (status) {
     case 200: return "OK";
+    case 202: return "Accepted";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
     case 408: return "Request Timeout";
@@ -141,6 +142,9 @@
   const auto last = path.rfind('/');
   const std::string verb = path.substr(last + 1);
   const bool of_host = path.compare(0, kHosts.size(), kHosts) == 0 && last > kHosts.size();
+  if (!of_host) {
+    if (const auto said = operations_.other(request)) return caller.answer(said->status, said->text);
+  }
   if (!of_host || (verb != "disable" && verb != "enable")) {
     counters_.add("console.faulty.404");
     return caller.answer(404, "no such call");
--- a/src/console/door.h
+++ b/src/console/door.h
@@ -4,6 +4,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "console/parser.h"
@@ -15,12 +16,18 @@
 
 enum class Done { yes, unknown_host, not_kept };
 
+struct Said {
+  int status = 200;
+  std::string text;
+};
+
 class Operations {
  public:
   virtual ~Operations() = default;
   virtual bool ready() const = 0;
   virtual Done disable(const std::string& host) = 0;
   virtual Done enable(const std::string& host) = 0;
+  virtual std::optional<Said> other(const Request&) { return std::nullopt; }  // nothing: no such call
 };
 
 class Door final : private net::Handler {
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -154,6 +154,7 @@
   const bool served = end.outcome == Outcome::ok;
   AttemptOutcome told{attempt,   out->host,       end.outcome,          served,
                       end.crowd, now - out->sent, std::move(end.report)};
+  if (witness_) witness_(out->host, open->call, end.outcome);
   // The answer goes first: the module's turn may be long.
   if (served) finish(attempt.call, {Verdict::served, Millis(0), std::move(end.body)});
   run(module_.report(now, told));
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -37,6 +37,11 @@
   // Refuses at once what is held and never went out, of those that `which` names.
   void give_up_held(const std::function<bool(CallId)>& which);
 
+  // Told of each attempt's end, before the call's, where set.
+  using Witness = std::function<void(const std::string& host, const Call& call, Outcome outcome)>;
+  void watch(Witness witness) { witness_ = std::move(witness); }
+  const Settings& settings() const { return *settings_; }
+
   void tick();
   Millis next_due() const;
   std::size_t open() const { return calls_.size(); }
@@ -80,6 +85,7 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::deque<Step> steps_;
   bool running_ = false;
+  Witness witness_;
 
   void run(Steps&& steps);
   void carry_out(const SendStep& step);
--- a/src/full/main.cpp
+++ b/src/full/main.cpp
@@ -5,6 +5,8 @@
 
 #include "answers/sqlite_store.h"
 #include "app/app.h"
+#include "full/operate.h"
+#include "works/crew.h"
 
 namespace lotusyard {
 namespace {
@@ -69,12 +71,15 @@
   auto* answers_command =
       app.add_subcommand("answers", "lists the durable answers, while the invoker is stopped");
   answers_command->add_option("file", listed)->required();
+  std::function<int()> operating;
+  add_operating(app, operating);
   app.require_subcommand(0, 1);
   CLI11_PARSE(app, count, words);
   try {
     if (check_command->parsed()) return check(checked);
     if (answers_command->parsed()) return list_answers(listed);
-    return run(file.empty() ? environment("BALANCER_CONFIG") : file, open_store);
+    if (operating) return operating();
+    return run(file.empty() ? environment("BALANCER_CONFIG") : file, open_store, works::make_crew);
   } catch (const std::exception& fault) {
     std::cerr << "lotusyard: " << fault.what() << std::endl;
     return 1;
--- /dev/null
+++ b/src/group/config.h
@@ -0,0 +1,31 @@
+// The part `group` of an operator's file.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "works/lease.h"
+
+namespace lotusyard::group {
+
+struct Peer {
+  std::string name, address;
+  bool votes = true;
+};
+
+struct Config {
+  std::string cluster, member, store, listen, address;  // address: where others reach this member
+  std::vector<Peer> members;  // with whom the group is founded; whoever joins later asks these
+  bool serves = true;         // takes calls; else it only votes and learns
+  works::Terms terms;
+  robinfold::Millis election{1000};
+};
+
+// Throws config::ConfigError naming the key; nothing: the file has no such part. `last_call`: the longest
+// limit of a call.
+std::optional<Config> read_config(const nlohmann::json& file, const std::string& name,
+                                  robinfold::Millis last_call);
+
+}  // namespace lotusyard::group
--- /dev/null
+++ b/src/group/links.h
@@ -0,0 +1,57 @@
+// Connections among the members of a group: one to each member that something is sent to, and those that
+// others make. What cannot go out is left out: the consensus sends again. No TLS and no sign-in: addresses
+// are loopback's or a closed network's.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/counters.h"
+#include "group/wire.h"
+#include "net/loop.h"
+#include "net/stream.h"
+
+namespace lotusyard::group {
+
+class Links final : private net::Handler {
+ public:
+  // A whole frame of a member that was let in.
+  using Receive = std::function<void(const Hello& from, Frame&& frame)>;
+  using Note = std::function<void(const std::string& line)>;
+  Links(net::Loop& loop, core::Counters& counters, Hello mine, Receive receive, Note note);
+  ~Links() override;
+
+  bool listen(const std::string& address);
+  std::string address() const { return net::bound_address(listener_); }
+  // False: nothing went out. `to` 0: whoever listens there.
+  bool send(std::uint64_t to, const std::string& address, Frame::Kind kind, const std::string& body);
+  void is_now(std::uint64_t id);  // this member's own id became known
+  void close();
+
+ private:
+  class Out;
+  class In;
+  static constexpr std::size_t incoming_most = 512;
+  static constexpr std::size_t unsent_most = 2U << 20;  // bytes that wait on one link
+  net::Loop& loop_;
+  core::Counters& counters_;
+  Hello mine_;
+  Receive receive_;
+  Note note_;
+  net::BufferPool pool_;
+  net::Socket listener_;
+  std::map<std::string, std::shared_ptr<Out>> out_;      // by address
+  std::map<std::string, robinfold::Millis> not_before_;  // by address, since the last link there ended
+  std::list<std::shared_ptr<In>> in_;
+  std::set<std::string> noted_;
+
+  void ready(short events) override;
+  const char* fault_of(const Hello& hello) const;
+  void note_once(const std::string& line);
+};
+
+}  // namespace lotusyard::group
--- /dev/null
+++ b/src/group/wire.cpp
@@ -0,0 +1,297 @@
+#include "group/wire.h"
+
+#include <cmath>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+namespace lotusyard::group {
+namespace {
+
+constexpr std::size_t kHead = 5;
+constexpr std::size_t kAligned = 8;  // the library reads words out of its entries
+constexpr std::size_t kEntriesMost = 100000, kServersMost = 4096;
+
+void put8(std::string& out, unsigned value) { out += static_cast<char>(value & 0xff); }
+void put32(std::string& out, std::uint32_t value) {
+  for (int shift = 24; shift >= 0; shift -= 8) put8(out, value >> shift);
+}
+void put64(std::string& out, std::uint64_t value) {
+  put32(out, static_cast<std::uint32_t>(value >> 32));
+  put32(out, static_cast<std::uint32_t>(value));
+}
+void put_bytes(std::string& out, const void* data, std::size_t size) {
+  put32(out, static_cast<std::uint32_t>(size));
+  if (size > 0) out.append(static_cast<const char*>(data), size);
+}
+
+std::size_t aligned(std::size_t size) { return (size + kAligned - 1) / kAligned * kAligned; }
+
+// Reads from the front; once something is missing it is faulty for good.
+class Reader {
+ public:
+  explicit Reader(std::string_view from) : left_(from) {}
+  bool sound() const { return sound_; }
+  bool ended() const { return sound_ && left_.empty(); }
+  std::uint64_t number(std::size_t bytes) {
+    if (left_.size() < bytes) sound_ = false;
+    if (!sound_) return 0;
+    std::uint64_t out = 0;
+    for (std::size_t i = 0; i < bytes; ++i) out = out << 8 | static_cast<unsigned char>(left_[i]);
+    left_.remove_prefix(bytes);
+    return out;
+  }
+  std::string_view bytes() {
+    const std::size_t size = number(4);
+    if (left_.size() < size) sound_ = false;
+    if (!sound_) return {};
+    const std::string_view out = left_.substr(0, size);
+    left_.remove_prefix(size);
+    return out;
+  }
+
+ private:
+  std::string_view left_;
+  bool sound_ = true;
+};
+
+bool read_entries(Reader& in, raft_append_entries& out) {
+  const std::size_t count = in.number(4);
+  out.entries = nullptr;
+  out.n_entries = 0;
+  if (!in.sound() || count > kEntriesMost) return false;
+  if (count == 0) return true;
+  // One block holds what all of them carry: the library gives back blocks, not entries.
+  std::vector<std::string_view> data;
+  std::vector<std::pair<raft_term, unsigned short>> heads;
+  std::size_t size = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const raft_term term = in.number(8);
+    const auto type = static_cast<unsigned short>(in.number(1));
+    heads.emplace_back(term, type);
+    data.push_back(in.bytes());
+    if (!in.sound() || type < RAFT_COMMAND || type > RAFT_CHANGE) return false;
+    size += aligned(data.back().size());
+  }
+  out.entries = static_cast<raft_entry*>(raft_calloc(count, sizeof(raft_entry)));
+  char* batch = static_cast<char*>(raft_malloc(size + kAligned));
+  if (out.entries == nullptr || batch == nullptr) {
+    raft_free(out.entries);
+    raft_free(batch);
+    out.entries = nullptr;
+    return false;
+  }
+  std::size_t at = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    raft_entry& entry = out.entries[i];
+    entry.term = heads[i].first;
+    entry.type = heads[i].second;
+    entry.batch = batch;
+    entry.buf.base = batch + at;
+    entry.buf.len = data[i].size();
+    if (!data[i].empty()) std::memcpy(entry.buf.base, data[i].data(), data[i].size());
+    at += aligned(data[i].size());
+  }
+  out.n_entries = static_cast<unsigned>(count);
+  return true;
+}
+
+void put_servers(std::string& out, const raft_configuration& conf) {
+  put32(out, conf.n);
+  for (unsigned i = 0; i < conf.n; ++i) {
+    put64(out, conf.servers[i].id);
+    put8(out, static_cast<unsigned>(conf.servers[i].role));
+    put_bytes(out, conf.servers[i].address, std::strlen(conf.servers[i].address));
+  }
+}
+
+bool read_servers(Reader& in, raft_configuration& conf) {
+  const std::size_t count = in.number(4);
+  if (!in.sound() || count > kServersMost) return false;
+  for (std::size_t i = 0; i < count; ++i) {
+    const raft_id id = in.number(8);
+    const int role = static_cast<int>(in.number(1));
+    const std::string address(in.bytes());
+    if (!in.sound() || raft_configuration_add(&conf, id, address.c_str(), role) != 0) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string framed(Frame::Kind kind, std::string_view body) {
+  std::string out;
+  put32(out, static_cast<std::uint32_t>(body.size()));
+  put8(out, static_cast<unsigned>(kind));
+  out += body;
+  return out;
+}
+
+bool FrameParser::take(std::string_view bytes, std::vector<Frame>& out) {
+  held_ += bytes;
+  std::size_t at = 0;
+  bool sound = true;
+  while (sound && held_.size() - at >= kHead) {
+    Reader head(std::string_view(held_).substr(at, kHead));
+    const std::size_t size = head.number(4);
+    const auto kind = head.number(1);
+    sound = size <= longest_frame && kind >= 1 && kind <= 5;
+    if (!sound || held_.size() - at - kHead < size) break;
+    out.push_back({static_cast<Frame::Kind>(kind), held_.substr(at + kHead, size)});
+    at += kHead + size;
+  }
+  held_.erase(0, at);
+  return sound;
+}
+
+std::string worded(const Hello& h) {
+  return nlohmann::json{
+      {"version", h.version}, {"cluster", h.cluster}, {"member", h.member}, {"from", h.from},
+      {"to", h.to},           {"lease", h.lease},     {"drift", h.drift},   {"last_call", h.last_call}}
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<Hello> read_hello(const std::string& body) {
+  const auto from = nlohmann::json::parse(body, nullptr, false);
+  if (!from.is_object()) return std::nullopt;
+  try {
+    Hello out;
+    from.at("version").get_to(out.version);
+    from.at("cluster").get_to(out.cluster);
+    from.at("member").get_to(out.member);
+    from.at("from").get_to(out.from);
+    from.at("to").get_to(out.to);
+    from.at("lease").get_to(out.lease);
+    from.at("drift").get_to(out.drift);
+    from.at("last_call").get_to(out.last_call);
+    if (out.member.empty() || out.member.size() > 128) return std::nullopt;
+    return out;
+  } catch (const nlohmann::json::exception&) { return std::nullopt; }
+}
+
+std::string worded(const raft_message& m) {
+  std::string out;
+  put8(out, m.type);
+  switch (m.type) {
+    case RAFT_IO_REQUEST_VOTE:
+      put64(out, m.request_vote.term);
+      put64(out, m.request_vote.candidate_id);
+      put64(out, m.request_vote.last_log_index);
+      put64(out, m.request_vote.last_log_term);
+      put8(out, m.request_vote.disrupt_leader);
+      put8(out, m.request_vote.pre_vote);
+      break;
+    case RAFT_IO_REQUEST_VOTE_RESULT:
+      put64(out, m.request_vote_result.term);
+      put8(out, m.request_vote_result.vote_granted);
+      put8(out, static_cast<unsigned>(m.request_vote_result.pre_vote));
+      break;
+    case RAFT_IO_APPEND_ENTRIES: {
+      const auto& a = m.append_entries;
+      put64(out, a.term);
+      put64(out, a.prev_log_index);
+      put64(out, a.prev_log_term);
+      put64(out, a.leader_commit);
+      put32(out, a.n_entries);
+      for (unsigned i = 0; i < a.n_entries; ++i) {
+        put64(out, a.entries[i].term);
+        put8(out, a.entries[i].type);
+        put_bytes(out, a.entries[i].buf.base, a.entries[i].buf.len);
+      }
+      break;
+    }
+    case RAFT_IO_APPEND_ENTRIES_RESULT:
+      put64(out, m.append_entries_result.term);
+      put64(out, m.append_entries_result.rejected);
+      put64(out, m.append_entries_result.last_log_index);
+      break;
+    case RAFT_IO_INSTALL_SNAPSHOT:
+      put64(out, m.install_snapshot.term);
+      put64(out, m.install_snapshot.last_index);
+      put64(out, m.install_snapshot.last_term);
+      put64(out, m.install_snapshot.conf_index);
+      put_servers(out, m.install_snapshot.conf);
+      put_bytes(out, m.install_snapshot.data.base, m.install_snapshot.data.len);
+      break;
+    default:
+      put64(out, m.timeout_now.term);
+      put64(out, m.timeout_now.last_log_index);
+      put64(out, m.timeout_now.last_log_term);
+  }
+  return out;
+}
+
+std::optional<raft_message> read_message(const std::string& body) {
+  Reader in(body);
+  raft_message m{};
+  m.type = static_cast<unsigned short>(in.number(1));
+  bool sound = true;
+  switch (m.type) {
+    case RAFT_IO_REQUEST_VOTE:
+      m.request_vote.term = in.number(8);
+      m.request_vote.candidate_id = in.number(8);
+      m.request_vote.last_log_index = in.number(8);
+      m.request_vote.last_log_term = in.number(8);
+      m.request_vote.disrupt_leader = in.number(1) != 0;
+      m.request_vote.pre_vote = in.number(1) != 0;
+      break;
+    case RAFT_IO_REQUEST_VOTE_RESULT: {
+      m.request_vote_result.term = in.number(8);
+      m.request_vote_result.vote_granted = in.number(1) != 0;
+      const auto pre = in.number(1);
+      sound = pre <= raft_tribool_false;
+      m.request_vote_result.pre_vote = sound ? static_cast<raft_tribool>(pre) : raft_tribool_unknown;
+      break;
+    }
+    case RAFT_IO_APPEND_ENTRIES:
+      m.append_entries.term = in.number(8);
+      m.append_entries.prev_log_index = in.number(8);
+      m.append_entries.prev_log_term = in.number(8);
+      m.append_entries.leader_commit = in.number(8);
+      sound = read_entries(in, m.append_entries);
+      break;
+    case RAFT_IO_APPEND_ENTRIES_RESULT:
+      m.append_entries_result.term = in.number(8);
+      m.append_entries_result.rejected = in.number(8);
+      m.append_entries_result.last_log_index = in.number(8);
+      break;
+    case RAFT_IO_INSTALL_SNAPSHOT: {
+      m.install_snapshot.term = in.number(8);
+      m.install_snapshot.last_index = in.number(8);
+      m.install_snapshot.last_term = in.number(8);
+      m.install_snapshot.conf_index = in.number(8);
+      raft_configuration_init(&m.install_snapshot.conf);
+      sound = read_servers(in, m.install_snapshot.conf);
+      const std::string_view data = in.bytes();
+      if (!sound || !in.sound()) break;
+      m.install_snapshot.data.len = data.size();
+      m.install_snapshot.data.base = raft_malloc(data.empty() ? 1 : data.size());
+      if (!data.empty()) std::memcpy(m.install_snapshot.data.base, data.data(), data.size());
+      break;
+    }
+    case RAFT_IO_TIMEOUT_NOW:
+      m.timeout_now.term = in.number(8);
+      m.timeout_now.last_log_index = in.number(8);
+      m.timeout_now.last_log_term = in.number(8);
+      break;
+    default: return std::nullopt;
+  }
+  if (sound && in.ended()) return m;
+  give_back(m);
+  return std::nullopt;
+}
+
+void give_back(raft_message& m) {
+  if (m.type == RAFT_IO_APPEND_ENTRIES) {
+    if (m.append_entries.n_entries > 0) raft_free(m.append_entries.entries[0].batch);
+    raft_free(m.append_entries.entries);
+    m.append_entries.entries = nullptr;
+    m.append_entries.n_entries = 0;
+  }
+  if (m.type == RAFT_IO_INSTALL_SNAPSHOT) {
+    raft_configuration_close(&m.install_snapshot.conf);
+    raft_free(m.install_snapshot.data.base);
+    m.install_snapshot.data.base = nullptr;
+  }
+}
+
+}  // namespace lotusyard::group
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -364,6 +364,7 @@
       return put && outbox().written() >= end ? Outcome::reset : Outcome::connect_failed;
     };
     for (const auto& [ref, sent] : attempts) fleet_.attempts_.erase(sent.attempt);
+    if (!attempts.empty()) fleet_.uses_[host_].lingers = true;
     for (const auto& [ref, sent] : attempts) {
       fleet_.dispatcher_->attempt_ended(sent.attempt, {outcome(sent.put, sent.end), 0, std::nullopt, {}});
     }
@@ -413,6 +414,8 @@
       if (taken_over && other_id != id) retire(other, true);
     }
   }
+  for (auto i = uses_.begin(); i != uses_.end();)
+    i = i->second.until <= loop_.now() ? uses_.erase(i) : std::next(i);
   for (auto i = hosts_.begin(); i != hosts_.end();) {
     Host& host = i->second;
     if (list.complete && named.count(i->first) == 0) {
@@ -445,7 +448,8 @@
 
 Fleet::Host* Fleet::ready_host(const std::string& id) {
   const auto found = hosts_.find(id);
-  if (found != hosts_.end() && found->second.member.entry.state == WorkerState::ready) return &found->second;
+  const bool ready = found != hosts_.end() && found->second.member.entry.state == WorkerState::ready;
+  if (ready && (!may_send_ || may_send_(id))) return &found->second;
   counters_.add("guard.host_not_ready");
   return nullptr;
 }
@@ -474,6 +478,23 @@
   return host.links.back().get();
 }
 
+void Fleet::cut(const std::string& id) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end()) return;
+  for (const auto& link : std::vector<std::shared_ptr<Link>>(found->second.links)) {
+    if (!link->connecting() && link->outbox().empty()) continue;
+    counters_.add("hosts.cut_links");
+    link->end_later();
+  }
+}
+
+bool Fleet::free_of_calls(const std::string& id) const {
+  const auto there = [&](const auto& entry) { return entry.second->host() == id; };
+  if (std::any_of(attempts_.begin(), attempts_.end(), there)) return false;
+  const auto use = uses_.find(id);
+  return use == uses_.end() || !use->second.lingers || use->second.until <= loop_.now();
+}
+
 void Fleet::later(std::function<void()> tell) { loop_.at(loop_.now(), std::move(tell)); }
 
 void Fleet::exec(const core::Attempt& attempt, const std::string& id, const core::Call& call,
@@ -486,6 +507,10 @@
     });
   }
   attempts_[attempt] = link;
+  Use& use = uses_[id];
+  const Millis until = loop_.now() + patience;
+  if (use.until <= loop_.now()) use.lingers = false;
+  use.until = std::max(use.until, until);
   signs_left_ = std::min(signs_left_ + kSignShare, kSignsMost);
   link->exec(attempt, call, patience);
 }
@@ -495,6 +520,7 @@
   if (found == attempts_.end()) return false;
   Link* link = found->second;
   attempts_.erase(found);
+  uses_[link->host()].lingers = true;
   return link->drop(attempt);
 }
 
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,6 +39,12 @@
   void attach(core::Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
 
   void members(const core::MemberList& list);
+  // Nothing that was decided for this host and is not with the kernel yet goes out any more.
+  void cut(const std::string& host);
+  // No call of this process is at the host: none is out, and what was given up has run out of time.
+  bool free_of_calls(const std::string& host) const;
+  // Asked before anything new goes to a host, where set.
+  void ask_before(std::function<bool(const std::string& host)> may_send) { may_send_ = std::move(may_send); }
   void bound(const Limits& limits) { limits_ = limits; }  // open connections keep to them from now on
 
   void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
@@ -60,6 +67,12 @@
   core::Dispatcher* dispatcher_ = nullptr;
   std::map<std::string, Host> hosts_;
   std::map<core::Attempt, Link*> attempts_;
+  struct Use {
+    Millis until{0};       // when the last call that went there has run out of time
+    bool lingers = false;  // one was given up, and may run there till then
+  };
+  std::map<std::string, Use> uses_;  // by host; shrinks with each list
+  std::function<bool(const std::string& host)> may_send_;
   std::size_t links_ = 0, incoming_ = 0;
   std::uint64_t last_tag_ = 0;
   Millis usual_answer_{0};  // moving average over all hosts
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,6 +1,7 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace lotusyard::membership {
@@ -9,7 +10,8 @@
 
 core::Member Membership::state_of(const std::string& id, const Host& host) const {
   core::Member state = host.listed;
-  if (out(id) && state.entry.state == WorkerState::ready) state.entry.state = WorkerState::draining;
+  const bool left_alone = held_ || out(id) || works_.count(id) != 0;
+  if (left_alone && state.entry.state == WorkerState::ready) state.entry.state = WorkerState::draining;
   // Danger: a host that was out may have started anew, and the list, seconds late, does not say so yet.
   state.entry.put_back = host.back > state.entry.started;
   if (state.entry.put_back) state.entry.started = host.back;
@@ -67,6 +69,39 @@
   tell(host);
 }
 
+void Membership::works(const std::set<std::string>& out, const std::set<std::string>& anew,
+                       core::Millis now) {
+  const std::set<std::string> before = std::exchange(works_, out);
+  for (const auto& id : out) {
+    if (before.count(id) == 0) tell(id);
+  }
+  for (const auto& id : before) {
+    if (out.count(id) != 0) continue;
+    const auto found = hosts_.find(id);
+    if (found != hosts_.end() && anew.count(id) != 0) found->second.back = now;
+    tell(id);
+  }
+}
+
+void Membership::hold_all(bool held) {
+  if (std::exchange(held_, held) == held) return;
+  for (const auto& [id, host] : hosts_) tell(id);
+}
+
+std::optional<core::Member> Membership::listed(const std::string& host) const {
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end() || found->second.listed.entry.state == WorkerState::gone) return std::nullopt;
+  return found->second.listed;
+}
+
+std::map<std::string, core::Member> Membership::hosts() const {
+  std::map<std::string, core::Member> out;
+  for (const auto& [id, host] : hosts_) {
+    if (host.listed.entry.state != WorkerState::gone) out.emplace(id, host.listed);
+  }
+  return out;
+}
+
 void Membership::follow(const std::set<std::string>& out, core::Millis now) {
   const std::set<std::string> before = out_;
   for (const auto& host : out) disable(host);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -25,6 +26,14 @@
   const std::set<std::string>& out() const { return out_; }
   void disable(const std::string& host);
   void enable(const std::string& host, core::Millis now);
+  // Hosts that a group's works leave no use of, in whole. Those of `anew` that are used again are cold from
+  // now on; the others were only left alone.
+  void works(const std::set<std::string>& out, const std::set<std::string>& anew, core::Millis now);
+  void hold_all(bool held);  // no host is used while it holds
+  // As the list names it; nothing: it does not, or says that it is gone.
+  std::optional<core::Member> listed(const std::string& host) const;
+  std::map<std::string, core::Member> hosts() const;  // that are not gone, as listed
+
   // Who is out as another process has it, in whole.
   void follow(const std::set<std::string>& out, core::Millis now);
 
@@ -38,6 +47,8 @@
   Told told_;
   std::map<std::string, Host> hosts_;
   std::set<std::string> out_;  // also of hosts that no list names any more
+  std::set<std::string> works_;
+  bool held_ = false;
   std::deque<std::string> gone_;
 
   core::Member state_of(const std::string& id, const Host& host) const;
--- a/tests/lotusyard/process.h
+++ b/tests/lotusyard/process.h
@@ -33,7 +33,7 @@
  public:
   // `listener` is passed on as descriptor 3.
   Process(const std::string& log, const std::map<std::string, std::string>& environment,
-          const net::Socket* listener = nullptr)
+          const net::Socket* listener = nullptr, const char* program = LOTUSYARD_PROGRAM)
       : log_(log) {
     std::vector<std::string> words;
     for (const auto& [name, value] : environment) words.push_back(name + "=" + value);
@@ -50,8 +50,7 @@
     if (fd >= 0 && fd != 3) dup2(fd, 3);
     if (fd == 3) fcntl(3, F_SETFD, 0);
     for (int other = fd >= 0 ? 4 : 3; other < 256; ++other) close(other);
-    char program[] = LOTUSYARD_PROGRAM;
-    char* const arguments[] = {program, nullptr};
+    char* const arguments[] = {const_cast<char*>(program), nullptr};
     execve(program, arguments, given.data());
     _exit(127);
   }
--- /dev/null
+++ b/tests/lotusyard/service.h
@@ -0,0 +1,175 @@
+// Whole processes in service: a stand-in change log, clients, and what starts and asks them.
+#pragma once
+
+#include <list>
+
+#include "helper.h"
+#include "net/fields.h"
+#include "process.h"
+#include "resp/parser.h"
+
+namespace lotusyard::test {
+
+// An address that nobody listens at, free a moment ago.
+inline std::string free_address() {
+  const net::Socket socket = net::listen_on("127.0.0.1:0");
+  return net::bound_address(socket);
+}
+
+class ChangeLog {
+ public:
+  explicit ChangeLog(World& world) : server(world.loop, world.pool, *this) {}
+  class Peer final : public net::Stream {
+   public:
+    Peer(ChangeLog& log, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), log_(log) {}
+
+   private:
+    ChangeLog& log_;
+    void received(std::string_view) override {
+      ++log_.asked;
+      for (const auto& line : log_.lines) write(line);  // those it has it passes over
+    }
+    void ended() override { log_.server.gone(*this); }
+  };
+  void tell(const std::string& id, const std::string& address, const std::string& phase, double started = 0) {
+    nlohmann::json event = {{"seq", lines.size() + 1}};
+    event["fleet"] = {{"complete", lines.empty()},
+                      {"members",
+                       {{{"id", id},
+                         {"host_port", address},
+                         {"locality", "z"},
+                         {"flavor", "std"},
+                         {"phase", phase},
+                         {"size", 2},
+                         {"up_since_ms", started}}}}};
+    lines.push_back(event.dump() + "\n");
+    for (const auto& peer : server.peers) peer->write(lines.back());
+  }
+  int asked = 0;
+  std::vector<std::string> lines;
+  Server<Peer, ChangeLog> server;
+};
+
+// A client that asks again on a new connection when its old one has ended without an answer, as the
+// platform's front does.
+class Tablet final : public net::Stream {
+ public:
+  Tablet(World& world, const std::string& address)
+      : Stream(world.loop, world.pool, net::connect_to(address), true) {}
+  void call(int number, const std::string& cls, const std::string& body, int allow = 800) {
+    const std::string tag = std::to_string(number);
+    std::string out;
+    const std::string fields = "ref=" + net::hex16(std::hash<std::string>()(body + tag)) +
+                               ",allow=" + std::to_string(allow) + ",lookup=00000000000000a1";
+    resp::write_array(out, {"CALL", tag, cls, fields, body});
+    open.emplace(tag, body);
+    asked_at = loop().now();
+    write(out);
+  }
+  std::map<std::string, std::string> open;               // by tag: the body
+  std::vector<std::pair<std::string, std::string>> got;  // word and the body asked with
+  bool closed = false;
+  Millis asked_at{0}, ended_at{0};
+
+ private:
+  resp::Parser parser_;
+  void connected() override { loop().flush_later(*this); }
+  void received(std::string_view bytes) override {
+    std::vector<resp::Words> answers;
+    REQUIRE(parser_.take(bytes, answers));
+    for (const auto& words : answers) {
+      const auto asked = open.find(words.at(0));
+      REQUIRE(asked != open.end());
+      if (words.at(1) == "OK") CHECK(words.at(3) == asked->second);
+      got.emplace_back(words.at(1), asked->second);
+      open.erase(asked);
+    }
+  }
+  void ended() override {
+    closed = true;
+    ended_at = loop().now();
+  }
+};
+
+struct Service {
+  Folder folder;
+  World world{2};
+  ChangeLog log{world};
+  net::Socket listener = net::listen_on("127.0.0.1:0");
+  std::string listen = net::bound_address(listener), config = folder.path + "/config.json";
+  std::list<std::string> consoles;
+  std::list<Process> processes;
+  explicit Service(bool inherited = true) : inherited_(inherited) {
+    for (std::size_t i = 0; i < 2; ++i) tell(i, "ready");
+    if (!inherited) listener = net::Socket();
+    write(platform_file(listen, log.server.address()));
+  }
+  void write(const nlohmann::json& file) { std::ofstream(config, std::ios::trunc) << file.dump(); }
+  void tell(std::size_t host, const std::string& phase, double started = 0) {
+    log.tell("h" + std::to_string(host), world.host[host]->server.address(), phase, started);
+  }
+  Process& start(const std::map<std::string, std::string>& more = {}) {
+    consoles.push_back(free_address());
+    std::map<std::string, std::string> environment = {
+        {"BALANCER_CONFIG", config}, {"BALANCER_CONSOLE", consoles.back()}, {"TMPDIR", folder.path}};
+    if (inherited_) environment["BALANCER_LISTEN_FD"] = "3";
+    for (const auto& [name, value] : more) environment[name] = value;
+    processes.emplace_back(folder.path + "/log" + std::to_string(processes.size()), environment,
+                           inherited_ ? &listener : nullptr);
+    return processes.back();
+  }
+  template <typename Until>
+  bool until(const Until& done) {
+    const auto give_up = world.loop.now() + Millis(30000);
+    while (world.loop.now() < give_up) {
+      if (done()) return true;  // asked once: some of what is asked sends calls
+      world.turn();
+    }
+    return false;
+  }
+  // The status of an answer at the operators' door; 0 if nobody opens.
+  int ask(const std::string& console, const std::string& method, const std::string& path) {
+    class Call final : public net::Stream {
+     public:
+      Call(World& world, const std::string& address)
+          : Stream(world.loop, world.pool, net::connect_to(address), true) {}
+      std::string got;
+      bool closed = false;
+
+     private:
+      void connected() override { loop().flush_later(*this); }
+      void received(std::string_view bytes) override { got += bytes; }
+      void ended() override { closed = true; }
+    } call(world, console);
+    call.write(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(until([&] { return call.closed; }));
+    return call.got.size() < 12 ? 0 : std::stoi(call.got.substr(9, 3));
+  }
+  bool ready(const std::string& console) {
+    return until([&] { return ask(console, "GET", "/-/ready") == 200; });
+  }
+  int post(const std::string& console, const std::string& path) { return ask(console, "POST", path); }
+  int runs(const std::string& body) const {
+    int all = 0;
+    for (const auto& one : world.host) all += one->runs.count(body) == 0 ? 0 : one->runs.at(body);
+    return all;
+  }
+  // Calls one after the other; how many each host has run of them.
+  std::vector<int> serve(int calls, const std::string& cls = "bin-check") {
+    const int before[] = {world.host[0]->execs, world.host[1]->execs};
+    Tablet tablet(world, listen);
+    for (int i = 1; i <= calls; ++i) {
+      tablet.call(i, cls, cls + std::to_string(++bodies_));
+      REQUIRE(until([&] { return tablet.open.empty() || tablet.closed; }));
+    }
+    CHECK(tablet.got.size() == static_cast<std::size_t>(calls));
+    return {world.host[0]->execs - before[0], world.host[1]->execs - before[1]};
+  }
+
+ private:
+  bool inherited_;
+  int bodies_ = 0;
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/try_test.cpp
@@ -0,0 +1,58 @@
+// What `./try` shows: three members, hosts and clients on one machine, and a work that they settle.
+#include <iostream>
+
+#include "crews.h"
+
+namespace lotusyard::test {
+namespace {
+
+TEST_CASE("three members take six hosts out and back, two at a time, while calls are served") {
+  Crews crews(7, 3, 6);
+  const auto ready = [&] {
+    for (auto& m : crews.members) {
+      if (crews.s.ask(m->door, "GET", "/-/ready") != 200) return false;
+    }
+    return true;
+  };
+  REQUIRE(crews.until(ready, 20));
+  const std::string door = crews.members[1]->door;
+  std::cout << "three members are in; their doors are at";
+  for (const auto& m : crews.members) std::cout << ' ' << m->door;
+  std::cout << "\n$ lotusyard_full works add kernel-update --at " << door << " --all --out 2 --wait"
+            << std::endl;
+  const pid_t child = fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    execl(LOTUSYARD_FULL, "lotusyard_full", "works", "add", "kernel-update", "--at", door.c_str(), "--all",
+          "--out", "2", "--wait", nullptr);
+    _exit(127);
+  }
+  int status = -1;
+  double checked = 0;
+  const bool ended = crews.until(
+      [&] {
+        if (crews.world.loop.now().count() < checked) return false;
+        checked = crews.world.loop.now().count() + 100;
+        crews.give_back(700);  // whoever works on a machine takes as long
+        return waitpid(child, &status, WNOHANG) == child;
+      },
+      45);
+  if (!ended) kill(child, SIGKILL);
+  REQUIRE(ended);
+  CHECK(WEXITSTATUS(status) == 0);
+  CHECK(crews.broken_rule(2) == "");
+  std::map<std::string, int> words;
+  for (const auto& m : crews.members) {
+    for (const auto& [word, body] : m->tablet->got) ++words[word];
+  }
+  std::cout << "calls meanwhile:";
+  for (const auto& [word, count] : words) std::cout << ' ' << count << ' ' << word;
+  std::cout << "\n$ lotusyard_full works timeline *.log --svg works.svg" << std::endl;
+  std::string command = std::string(LOTUSYARD_FULL) + " works timeline";
+  for (const auto& m : crews.members) command += ' ' + crews.log_of(*m);
+  CHECK(std::system((command + " --svg works.svg").c_str()) == 0);
+  std::cout << "the chart is in works.svg" << std::endl;
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/works_test.cpp
@@ -0,0 +1,535 @@
+// Works on machines without processes: the agreed board, the order and the leases, over a made-up log that
+// members follow at different times, with clocks that run apart, cuts, deaths and leaders that change.
+#include <cmath>
+#include <set>
+
+#include "helper.h"
+#include "works/board.h"
+#include "works/lease.h"
+#include "works/order.h"
+#include "works/timeline.h"
+#include "works/watch.h"
+
+namespace lotusyard::test {
+namespace {
+
+using works::Board;
+using works::Entry;
+using works::Stage;
+using works::Work;
+using Kind = works::Entry::Kind;
+
+Work work_of(int hosts, int out, double usable = 0.5) {
+  Work w;
+  w.id = "w";
+  for (int i = 0; i < hosts; ++i)
+    w.hosts.push_back({"h" + std::to_string(i), i % 2 == 0 ? "east" : "west", "std"});
+  w.bounds.out = out;
+  w.bounds.usable = usable;
+  return w;
+}
+Entry about(Kind kind, const std::string& host = {}, std::uint64_t round = 0) {
+  Entry e;
+  e.kind = kind;
+  e.host = host;
+  e.round = round;
+  return e;
+}
+Entry adds(const Work& w) {
+  Entry e = about(Kind::add);
+  e.added = w;
+  return e;
+}
+Entry joins(const std::string& member, std::uint64_t life) {
+  Entry e = about(Kind::join);
+  e.member = member;
+  e.life = life;
+  return e;
+}
+works::Beat beat_of(const std::string& member, std::uint64_t life, std::uint64_t has, int listed) {
+  works::Beat b{member, life, 0, has, {}, works::View()};
+  b.view->listed = listed;
+  return b;
+}
+Entry beats(std::vector<works::Beat> all) {
+  Entry e = about(Kind::beats);
+  e.beats = std::move(all);
+  return e;
+}
+Entry names(std::vector<std::string> hosts) {
+  Entry e = about(Kind::name);
+  e.hosts = std::move(hosts);
+  return e;
+}
+
+// One group as it could be: members with clocks of their own follow one log with delays, and use hosts.
+struct Yard {
+  struct Person {
+    std::string name;
+    std::uint64_t life = 1;
+    Board board;
+    std::optional<works::Lease> lease;
+    double clock = 1, ahead = 0;  // its clock: true time * clock + ahead
+    bool up = true, reachable = true;
+    std::size_t follows = 0;                // entries of the log
+    std::map<std::string, double> calls;    // by host: true time at which the last one sent there ends
+    std::map<std::string, double> earlier;  // of an earlier life, that this one knows nothing of
+    double beats_at = 0;
+  };
+  struct Bug {
+    bool ignores_lease = false, ignores_drain = false;
+  };
+  Random random;
+  Bug bug;
+  works::Terms terms;
+  double now = 1000;
+  std::vector<Entry> log;
+  std::vector<Person> people;
+  std::size_t leader = 0;
+  std::optional<works::Order> order;
+  std::map<std::string, works::Beat> heard;
+  std::size_t led_from = 0;
+  int hosts = 0, most_out = 0, touched = 0;
+  std::string broken;
+
+  explicit Yard(std::uint64_t seed, int members, int all_hosts) : random(seed), hosts(all_hosts) {
+    terms.lease = Millis(1000);
+    terms.last_call = Millis(400);
+    for (int i = 0; i < members; ++i) {
+      Person p;
+      p.name = std::string(1, static_cast<char>('a' + i));
+      p.clock = 1 + (static_cast<double>(below(random, 201)) - 100) / 20000;  // any two within 1%
+      p.ahead = static_cast<double>(below(random, 100000));
+      people.push_back(p);
+    }
+    for (auto& p : people) begin(p);
+    order.emplace(terms);
+  }
+  Millis clock(const Person& p) const { return Millis(now * p.clock + p.ahead); }
+  void begin(Person& p) { p.lease.emplace(terms, clock(p)); }
+  bool may_use(const Person& p, const std::string& host) const {
+    if (!p.up || !p.lease->ever()) return false;
+    const bool leased = bug.ignores_lease || p.lease->holds(clock(p));
+    return p.board.avoided(leased).count(host) == 0;
+  }
+  void append(const Entry& e) {
+    // The wording is what goes through the log.
+    const auto read = works::read_entry(works::worded(e));
+    REQUIRE(read);
+    log.push_back(*read);
+  }
+  void follow(Person& p) {
+    for (; p.follows < log.size(); ++p.follows) {
+      const Entry& e = log[p.follows];
+      p.board.apply(p.follows + 1, e, clock(p));
+      for (const auto& b : e.beats) {
+        if (b.member == p.name && b.life == p.life) p.lease->agreed(b.stamp);
+      }
+    }
+  }
+  void call(Person& p) {
+    const std::string host = "h" + std::to_string(below(random, static_cast<std::size_t>(hosts)));
+    if (!may_use(p, host)) return;
+    p.calls[host] = now + 1 + static_cast<double>(below(random, 400));
+  }
+  // What no member may break, by true time.
+  void watch() {
+    for (const auto& host : truly_touched()) {
+      for (const auto& p : people) {
+        for (const auto* calls : {&p.calls, &p.earlier}) {
+          const auto at = calls->find(host);
+          if (at != calls->end() && at->second > now)
+            broken = host + " may be touched and is used by " + p.name;
+        }
+      }
+    }
+  }
+  // As the log has it, whoever has followed that far.
+  Board newest;
+  std::size_t newest_follows = 0;
+  std::set<std::string> truly_touched() {
+    for (; newest_follows < log.size(); ++newest_follows) {
+      const Entry& e = log[newest_follows];
+      const bool done = newest.apply(newest_follows + 1, e, Millis(now)).done;
+      touched += done && e.kind == Kind::touch;
+    }
+    std::set<std::string> out;
+    int away = 0;
+    for (const auto& [id, h] : newest.hosts()) {
+      if (h.stage == Stage::out) out.insert(id);
+      away += h.stage == Stage::leaving || h.stage == Stage::out || h.stage == Stage::warming;
+    }
+    most_out = std::max(most_out, away);
+    return out;
+  }
+  void beat(Person& p) {
+    if (!p.up || now < p.beats_at) return;
+    p.beats_at = now + terms.beat().count();
+    const auto mine = p.board.members().find(p.name);
+    if (!p.reachable || !people[leader].up || !people[leader].reachable) return;
+    if (mine == p.board.members().end() || mine->second.life != p.life) {
+      if (people[leader].board.last_life(p.name) < p.life) append(joins(p.name, p.life));
+      return;
+    }
+    works::Beat b = beat_of(p.name, p.life, p.board.index(), hosts);
+    b.stamp = clock(p).count();
+    for (const auto& [id, h] : p.board.hosts()) {
+      const bool gone = h.stage == Stage::leaving || h.stage == Stage::out;
+      const bool quiet = p.calls.count(id) == 0 || p.calls[id] <= now;
+      if (gone && (bug.ignores_drain || (quiet && p.lease->earlier_ended(clock(p))))) b.drained.insert(id);
+      if (h.stage == Stage::warming) b.view->served.insert(id);
+      b.view->cost[id] = static_cast<double>(below(random, 10));
+    }
+    heard[p.name] = b;
+  }
+  void lead() {
+    Person& p = people[leader];
+    if (!p.up || !p.reachable || p.follows < led_from) return;
+    if (!heard.empty()) {
+      std::vector<works::Beat> all;
+      for (auto& [name, b] : heard) all.push_back(b);
+      heard.clear();
+      append(beats(all));
+      return;
+    }
+    if (auto next = order->next(p.board, clock(p))) append(*next);
+  }
+  void elect() {
+    for (std::size_t i = 0; i < people.size(); ++i) {
+      if (!people[i].up || !people[i].reachable || i == leader) continue;
+      leader = i;
+      order.emplace(terms);
+      heard.clear();
+      led_from = log.size();
+      return;
+    }
+  }
+  void turn() {
+    now += 5;
+    for (auto& p : people) {
+      if (p.up && p.reachable && below(random, 3) == 0) follow(p);
+      if (p.up && below(random, 2) == 0) call(p);
+      beat(p);
+    }
+    if (below(random, 4) == 0) lead();
+    watch();
+  }
+  void disturb() {
+    Person& p = people[below(random, people.size())];
+    switch (below(random, 5)) {
+      case 0: p.reachable = !p.reachable; break;
+      case 1:
+        if (p.up) {  // killed: its calls go on at the hosts
+          p.up = false;
+        } else {  // it has its log again, and a new life; all of it is read anew
+          p.up = true;
+          ++p.life;
+          for (const auto& [host, until] : p.calls) p.earlier[host] = std::max(p.earlier[host], until);
+          p.calls.clear();
+          p.board = Board();
+          const std::size_t kept = p.follows;
+          p.follows = 0;
+          begin(p);
+          for (; p.follows < kept; ++p.follows) p.board.apply(p.follows + 1, log[p.follows], clock(p));
+        }
+        break;
+      default: break;
+    }
+    if (!people[leader].up || !people[leader].reachable || below(random, 6) == 0) elect();
+    // As an operator would: what is out comes back.
+    if (const auto out = truly_touched(); !out.empty() && below(random, 2) == 0)
+      append(about(Kind::returned,
+                   *std::next(out.begin(), static_cast<std::ptrdiff_t>(below(random, out.size())))));
+  }
+  std::string run(int turns) {
+    append(adds(work_of(hosts, 2)));
+    for (int i = 0; i < turns && broken.empty(); ++i) {
+      turn();
+      if (i % 40 == 39) disturb();
+    }
+    return broken;
+  }
+};
+
+TEST_CASE("no host may be touched while a member's call is there, whoever dies, is cut off or leads") {
+  int touched = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Yard yard(seed, 3 + static_cast<int>(seed % 3) * 2, 8);
+    INFO("seed " << seed);
+    REQUIRE(yard.run(3000) == "");
+    REQUIRE(yard.most_out <= 2);
+    touched += yard.touched;
+  }
+  CHECK(touched > 100);
+}
+
+TEST_CASE("the check of touched hosts finds a member that ignores its lease, and one that does not drain") {
+  int lease = 0, drain = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Yard one(seed, 3, 8);
+    one.bug.ignores_lease = true;
+    lease += one.run(3000).empty() ? 0 : 1;
+    Yard other(seed, 3, 8);
+    other.bug.ignores_drain = true;
+    drain += other.run(3000).empty() ? 0 : 1;
+  }
+  CHECK(lease > 0);
+  CHECK(drain > 0);
+}
+
+struct Table {
+  Board board;
+  std::uint64_t index = 0;
+  Millis now{1000};
+  Board::Outcome apply(const Entry& e) { return board.apply(++index, e, now); }
+  // One member that follows and has let go of what leaves.
+  void follows(std::set<std::string> drained = {}, std::set<std::string> served = {}) {
+    works::Beat b = beat_of("a", 1, index, 10);
+    b.drained = std::move(drained);
+    b.view->served = std::move(served);
+    apply(beats({b}));
+  }
+};
+
+TEST_CASE("a host goes through its stages in their order, and bounds hold whoever proposes") {
+  Table t;
+  REQUIRE(t.apply(joins("a", 1)).done);
+  t.follows();
+  REQUIRE(t.apply(adds(work_of(6, 2))).done);
+  CHECK(t.apply(about(Kind::take, "h0", 0)).why == "host: h0 is waiting");
+  REQUIRE(t.apply(names({"h0", "h1", "h2", "h3", "h4", "h5"})).done);
+  const std::uint64_t named = t.index;
+  CHECK(t.board.in_reach() == 5);  // half of the ten that are listed stays out of reach
+  CHECK_THAT(t.apply(about(Kind::take, "h0", named)).why, Catch::Contains("member a does not know"));
+  t.follows();
+  CHECK(t.apply(about(Kind::take, "h0", named - 1)).why == "host: h0 is named");
+  REQUIRE(t.apply(about(Kind::take, "h0", named)).done);
+  const std::uint64_t taken = t.index;
+  CHECK(t.board.avoided(true) == std::set<std::string>{"h0"});
+  CHECK(t.board.avoided(false).size() == 5);
+  REQUIRE(t.apply(about(Kind::take, "h1", named)).done);
+  CHECK_THAT(t.apply(about(Kind::take, "h2", named)).why, Catch::Contains("2 hosts may be out"));
+  CHECK(t.apply(about(Kind::returned, "h0")).why == "host: h0 is leaving");
+  REQUIRE(t.apply(about(Kind::touch, "h0", taken)).done);
+  CHECK(t.apply(about(Kind::touch, "h0", taken)).why == "host: h0 is out");
+  REQUIRE(t.apply(about(Kind::returned, "h0")).done);
+  CHECK_THAT(t.apply(about(Kind::take, "h2", named)).why,
+             Catch::Contains("2 hosts may be out"));  // it is cold
+  REQUIRE(t.apply(about(Kind::back, "h0")).done);
+  REQUIRE(t.apply(about(Kind::take, "h2", named)).done);
+}
+
+TEST_CASE("works share their bounds, zones and kinds have their own, and paused works take nothing") {
+  Table t;
+  t.apply(joins("a", 1));
+  t.follows();
+  Work first = work_of(4, 3), second = work_of(4, 3);
+  first.bounds.zone = 1;
+  second.id = "v";
+  for (auto& h : second.hosts) h.id = "k" + h.id;
+  second.bounds.out = 2;
+  REQUIRE(t.apply(adds(first)).done);
+  REQUIRE(t.apply(adds(second)).done);
+  CHECK_THAT(t.apply(adds(first)).why, Catch::Contains("there is a work w already"));
+  first.id = "u";
+  CHECK_THAT(t.apply(adds(first)).why, Catch::Contains("h0 is in work w"));
+  t.apply(names({"h0", "h1", "h2", "kh0", "kh1"}));
+  const std::uint64_t named = t.index;
+  t.follows();
+  REQUIRE(t.apply(about(Kind::take, "h0", named)).done);
+  CHECK_THAT(t.apply(about(Kind::take, "h2", named)).why, Catch::Contains("of zone east"));
+  CHECK_THAT(t.apply(about(Kind::take, "kh0", named)).why,
+             Catch::Contains("of zone east"));  // the other's bound
+  Entry pause = about(Kind::alter);
+  pause.work = "v";
+  pause.state = Work::State::paused;
+  REQUIRE(t.apply(pause).done);
+  CHECK(t.apply(about(Kind::take, "kh1", named)).why == "work: v is paused");
+  pause.state = Work::State::running;
+  REQUIRE(t.apply(pause).done);
+  REQUIRE(t.apply(about(Kind::take, "kh1", named)).done);
+  CHECK_THAT(t.apply(about(Kind::take, "h1", named)).why,
+             Catch::Contains("of zone west may be out at once by work w"));
+  pause.work = "w";
+  pause.state = Work::State::cancelled;
+  REQUIRE(t.apply(pause).done);  // nobody may touch h0 yet: it is used again
+  CHECK(t.board.avoided(true) == std::set<std::string>{"kh1"});
+  pause.state = Work::State::running;
+  CHECK(t.apply(pause).why == "work: w is cancelled");
+}
+
+TEST_CASE("what can never be met is refused with its key") {
+  Table t;
+  t.apply(joins("a", 1));
+  t.follows();
+  CHECK_THAT(t.apply(adds(work_of(2, 3))).why, Catch::StartsWith("out: "));
+  CHECK_THAT(t.apply(adds(work_of(4, 1, 0.95))).why, Catch::StartsWith("usable: "));
+  const auto faulty = [](const char* text) {
+    try {
+      works::read_work(nlohmann::json::parse(text));
+    } catch (const std::invalid_argument& fault) { return std::string(fault.what()); }
+    return std::string("taken");
+  };
+  CHECK_THAT(faulty(R"({"id":"w","hosts":[["h","z","k"]],"bounds":{"out":0}})"), Catch::StartsWith("out: "));
+  CHECK_THAT(faulty(R"({"id":"w","hosts":[["h","z","k"]],"bounds":{"usable":1.5}})"),
+             Catch::StartsWith("usable: "));
+  CHECK_THAT(faulty(R"({"id":"w","hosts":[]})"), Catch::StartsWith("hosts: "));
+  CHECK_THAT(faulty(R"({"id":"w","hosts":[["h","",""],["h","",""]]})"),
+             Catch::StartsWith("hosts: h stands twice"));
+  CHECK_THAT(faulty(R"({"hosts":[["h","",""]]})"), Catch::StartsWith("id: "));
+  CHECK(faulty(R"({"id":"w","hosts":[["h","z","k"]]})") == "taken");
+}
+
+TEST_CASE("a proposal that comes twice holds once, and its outcome can be asked for") {
+  Table t;
+  t.apply(joins("a", 1));
+  t.follows();
+  Entry add = adds(work_of(4, 1));
+  add.proposal = "p1";
+  REQUIRE(t.apply(add).done);
+  REQUIRE(t.apply(add).done);  // else it would say that there is such a work already
+  CHECK(t.board.works().size() == 1);
+  REQUIRE(t.board.outcome("p1") != nullptr);
+  for (int i = 0; i < 300; ++i) {
+    Entry ask = about(Kind::ask);
+    ask.proposal = "q" + std::to_string(i);
+    t.apply(ask);
+  }
+  CHECK(t.board.outcome("p1") == nullptr);  // the table is bounded
+  CHECK(t.board.outcome("q299") != nullptr);
+}
+
+TEST_CASE("a board comes back whole from its snapshot, and nothing else is taken for one") {
+  Yard yard(5, 3, 8);
+  yard.run(2500);
+  const Board& before = yard.newest;
+  Board after;
+  REQUIRE(after.restore(before.snapshot(), Millis(5)));
+  CHECK(after.snapshot() == before.snapshot());
+  Random random(3);
+  const std::string whole = before.snapshot().dump();
+  for (int i = 0; i < 300; ++i) {
+    std::string spoilt = whole;
+    for (int n = 0; n < 3; ++n) spoilt[below(random, spoilt.size())] = static_cast<char>(random());
+    const auto read = nlohmann::json::parse(spoilt, nullptr, false);
+    Board other;
+    if (!read.is_object() || !other.restore(read, Millis(0))) CHECK(other.works().empty());
+    works::read_entry(spoilt);  // neither ends the process
+  }
+}
+
+TEST_CASE("the one that leads names its reasons and waits for what holds up a work") {
+  Table t;
+  works::Terms terms;
+  works::Order order(terms);
+  t.apply(joins("a", 1));
+  t.apply(joins("b", 1));
+  Work w = work_of(4, 1);
+  w.bounds.pause = Millis(5000);
+  w.bounds.away = Millis(60000);
+  t.apply(adds(w));
+  const auto both = [&](double cost0, double cost1, std::set<std::string> down = {}, double lost = 0) {
+    works::Beat a = beat_of("a", 1, t.index, 10), b = beat_of("b", 1, t.index, 10);
+    a.view->cost = {{"h0", cost0}, {"h1", cost1}};
+    a.view->down = std::move(down);
+    a.view->asked = 100;
+    a.view->lost = lost;
+    t.apply(beats({a, b}));
+  };
+  const auto step = [&](Kind kind, const std::string& host) {
+    const auto next = order.next(t.board, t.now);
+    REQUIRE(next);
+    CHECK(works::name_of(next->kind) == std::string(works::name_of(kind)));
+    CHECK(next->host == host);
+    REQUIRE(t.apply(*next).done);
+    return next->reason;
+  };
+  // Naming ahead is no step of a host's: it is followed at once.
+  const auto idle = [&] {
+    auto next = order.next(t.board, t.now);
+    for (; next && next->kind == Kind::name; next = order.next(t.board, t.now)) t.apply(*next);
+    return !next;
+  };
+  both(3, 1);
+  step(Kind::name, "");
+  CHECK(idle());
+  CHECK_THAT(order.waits().at("w"), Catch::Contains("does not follow"));
+  both(3, 1, {"h9"});
+  CHECK(idle());
+  CHECK(order.waits().at("w") == "host h9 is down unasked, says a");
+  both(3, 1, {}, 30);
+  CHECK(idle());
+  CHECK_THAT(order.waits().at("w"), Catch::StartsWith("service falls: 30%"));
+  both(3, 1);
+  CHECK_THAT(step(Kind::take, "h1"), Catch::Contains("costs least now: 1 "));
+  both(3, 1);
+  CHECK(idle());
+  CHECK_THAT(order.waits().at("w"), Catch::Contains("still used, or may be, by a, b"));
+  works::Beat a = beat_of("a", 1, t.index, 10);
+  a.drained = {"h1"};
+  t.apply(beats({a}));
+  CHECK(idle());
+  t.now += terms.silent() - Millis(1);  // b is silent, and its lease may still run
+  t.apply(beats({a}));
+  CHECK(idle());
+  t.now += Millis(1);
+  CHECK_THAT(step(Kind::touch, "h1"), Catch::Contains("leases have run out of b"));
+  t.now += Millis(60001);
+  both(3, 1);
+  CHECK_THAT(step(Kind::late, "h1"), Catch::Contains("longer than 60 s"));
+  CHECK(idle());
+  CHECK_THAT(order.waits().at("w"), Catch::Contains("h1"));
+  REQUIRE(t.apply(about(Kind::returned, "h1")).done);
+  CHECK(idle());  // it has not served yet
+  t.follows({}, {"h1"});
+  CHECK(step(Kind::back, "h1") == "it has served a call of a");
+  both(3, 1);
+  t.now += Millis(1000);
+  CHECK(idle());
+  CHECK_THAT(order.waits().at("w"), Catch::StartsWith("a pause of 5 s"));
+  t.now += Millis(4000);
+  both(3, 1);
+  step(Kind::take, "h2");  // nothing is known to run there
+}
+
+TEST_CASE("a host is worth what it serves, and more where it serves a function alone") {
+  works::Watch watch;
+  for (int i = 0; i < 100; ++i) {
+    const Millis at(i * 100);
+    watch.served("busy", 1, 1, at);
+    watch.served("other", 1, 1, at);
+    if (i % 2 == 0) watch.served("alone", 2, 1, at);
+  }
+  const Millis now(10000);
+  CHECK(watch.cost("alone", now) > watch.cost("busy", now));
+  CHECK(watch.cost("busy", now) == Approx(watch.cost("other", now)).epsilon(0.05));
+  CHECK(watch.cost("unknown", now) == 0);
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(watch.down("busy", now));
+    watch.failed("busy", now);
+  }
+  CHECK(watch.down("busy", now));
+  watch.served("busy", 1, 1, now);
+  CHECK_FALSE(watch.down("busy", now));
+  for (std::uint64_t f = 0; f < 3 * works::Watch::functions_most; ++f) watch.served("busy", f, 1, now);
+}
+
+TEST_CASE("a work's course is read from the members' logs, and members that disagree are found") {
+  const std::vector<std::string> lines = {
+      "noise", "works at=1000 member=a term=1 index=7 take work=w host=h1 reason=\"its absence costs least\"",
+      "works at=1010 member=b term=1 index=7 take work=w host=h1 reason=\"its absence costs least\"",
+      "works at=1200 member=a term=1 index=9 touch work=w host=h1 reason=\"all members are done with it\"",
+      "works at=1100 member=a term=1 index=8 calls asked=50 lost=2"};
+  auto course = works::read_timeline(lines);
+  REQUIRE(course.happenings.size() == 2);
+  CHECK(course.happenings[0].members.size() == 2);
+  CHECK(course.fault.empty());
+  CHECK_THAT(works::table_of(course), Catch::Contains("its absence costs least"));
+  CHECK_THAT(works::chart_of(course), Catch::Contains("h1 leaving") && Catch::EndsWith("</svg>\n"));
+  auto other = lines;
+  other.push_back("works at=1300 member=b term=1 index=9 touch work=w host=h2 reason=\"\"");
+  CHECK_THAT(works::read_timeline(other).fault, Catch::Contains("index 9"));
+}
+
+}  // namespace
+}  // namespace lotusyard::test
