--- a/src/company/company.cpp
+++ b/src/company/company.cpp
@@ -24,8 +24,8 @@
               [this](const std::string& text) { note("works", text); }) {
   built_ = true;
   crew_.attach(member_);
-  note("works", "life=" + std::to_string(member_.life()) + " starts" +
-                    (config.serves ? "" : ", serves no calls"));
+  note("works",
+       "life=" + std::to_string(member_.life()) + " starts" + (config.serves ? "" : ", serves no calls"));
 }
 
 void Company::note(const std::string& part, const std::string& text) const {
@@ -56,13 +56,18 @@
   }
   for (const auto& s : member_.servers())
     servers.push_back({{"id", s.id}, {"address", s.address}, {"role", role_name(s.role)}});
-  return {
-      {"member", config_.member},           {"id", member_.id()},
-      {"life", member_.life()},     {"term", member_.term()},
-      {"leader", member_.leader()}, {"leads", member_.leads()},
-      {"index", board.index()},    {"lease_ms", std::max(0.0, std::round((lease_.until() - wiring_.loop.now()).count()))},
-      {"failed", crew_.has_failed()},          {"store_bytes", member_.stored()},
-      {"servers", servers},         {"members", members}};
+  return {{"member", config_.member},
+          {"id", member_.id()},
+          {"life", member_.life()},
+          {"term", member_.term()},
+          {"leader", member_.leader()},
+          {"leads", member_.leads()},
+          {"index", board.index()},
+          {"lease_ms", std::max(0.0, std::round((lease_.until() - wiring_.loop.now()).count()))},
+          {"failed", crew_.has_failed()},
+          {"store_bytes", member_.stored()},
+          {"servers", servers},
+          {"members", members}};
 }
 
 std::unique_ptr<Companion> make_company(const Wiring& wiring, const json& file) {
--- a/src/company/company.h
+++ b/src/company/company.h
@@ -1,5 +1,5 @@
-// The parts of one member of a group, joined: they share its log, its links and its lease, and are the invoker's
-// companion together.
+// The parts of one member of a group, joined: they share its log, its links and its lease, and are the
+// invoker's companion together.
 #pragma once
 
 #include <memory>
--- a/src/core/breaks.h
+++ b/src/core/breaks.h
@@ -1,5 +1,5 @@
-// A build for the tests breaks the rule that it is told to, so that their checkers are checked. Every other build
-// keeps all of them, and holds no trace of this.
+// A build for the tests breaks the rule that it is told to, so that their checkers are checked. Every other
+// build keeps all of them, and holds no trace of this.
 #pragma once
 
 namespace lotusyard {
--- a/src/group/lease.h
+++ b/src/group/lease.h
@@ -1,5 +1,5 @@
-// What one member may take for granted without asking: how long it holds, kept by its own clock, and since when
-// nothing of an earlier life of it is out any more. No I/O; the time is passed in.
+// What one member may take for granted without asking: how long it holds, kept by its own clock, and since
+// when nothing of an earlier life of it is out any more. No I/O; the time is passed in.
 #pragma once
 
 #include <algorithm>
--- a/src/group/member.cpp
+++ b/src/group/member.cpp
@@ -112,8 +112,8 @@
   const auto [kind, text] = untagged(entry);
   if (Part* part = part_of(kind)) return part->applied(index, text);
   counters_.add("group.unknown_entries");
-  failed("entry " + std::to_string(index) + " of the log is of a kind that this program does not know: " +
-         kind.substr(0, 40));
+  failed("entry " + std::to_string(index) +
+         " of the log is of a kind that this program does not know: " + kind.substr(0, 40));
 }
 
 std::string Member::snapshot() {
--- a/src/group/member.h
+++ b/src/group/member.h
@@ -22,7 +22,8 @@
   using Heard = std::function<void(const std::string& member, const std::string& body)>;
 
   // The parts outlive it. Throws config::ConfigError or StoreError.
-  Member(net::Loop& loop, core::Counters& counters, const Config& config, std::vector<Part*> parts, Note note);
+  Member(net::Loop& loop, core::Counters& counters, const Config& config, std::vector<Part*> parts,
+         Note note);
   ~Member() override;
   static void found(const Config& config);  // begins this member's store; once, before a group's first start
 
--- a/src/group/part.h
+++ b/src/group/part.h
@@ -1,5 +1,5 @@
-// Whoever decides by a group's log. Several parts share one member, one log and one set of links; each has its own
-// kind of entry, word and snapshot.
+// Whoever decides by a group's log. Several parts share one member, one log and one set of links; each has
+// its own kind of entry, word and snapshot.
 #pragma once
 
 #include <cstdint>
--- a/src/group/wire.h
+++ b/src/group/wire.h
@@ -1,5 +1,6 @@
-// What goes over the links among the members of a group: frames with a length and a kind. The reader is bounded
-// and takes nothing that is not whole and sound. What a frame carries is worded elsewhere, kind by kind.
+// What goes over the links among the members of a group: frames with a length and a kind. The reader is
+// bounded and takes nothing that is not whole and sound. What a frame carries is worded elsewhere, kind by
+// kind.
 #pragma once
 
 #include <cstdint>
--- a/src/works/crew.h
+++ b/src/works/crew.h
@@ -1,6 +1,6 @@
-// Works on machines at one member: its part of the agreed log, what it tells the others, what it leads when it
-// leads, and what the invoker's parts are told. Its signs of life carry the lease that other parts go by, too.
-// What is decided stands in `board`, `order` and `leaving`.
+// Works on machines at one member: its part of the agreed log, what it tells the others, what it leads when
+// it leads, and what the invoker's parts are told. Its signs of life carry the lease that other parts go by,
+// too. What is decided stands in `board`, `order` and `leaving`.
 #pragma once
 
 #include <map>
--- a/tests/lotusyard/group_test.cpp
+++ b/tests/lotusyard/group_test.cpp
@@ -217,8 +217,7 @@
   };
   CHECK(tell([](group::Hello&) {}) == "let in");
   CHECK_THAT(tell([](group::Hello& h) { h.cluster = "other"; }), Catch::EndsWith("another group"));
-  CHECK_THAT(tell([](group::Hello& h) { ++h.version; }),
-             Catch::EndsWith("another version of the protocol"));
+  CHECK_THAT(tell([](group::Hello& h) { ++h.version; }), Catch::EndsWith("another version of the protocol"));
   CHECK_THAT(tell([](group::Hello& h) { h.lease = 2; }), Catch::Contains("another lease"));
   CHECK_THAT(tell([](group::Hello& h) { h.from = 1; }), Catch::EndsWith("this member's own id"));
   CHECK(got == std::vector<std::string>{"bhello"});
