A view of the fleet without a leader: probes, suspicion that can be refuted, records that merge

Need: members know each other by the agreed log alone; without a majority nobody knows who is there. Change: src/view, without I/O: SWIM with Lifeguard's doubt of oneself, incarnations out of the store's life, full exchanges, slow tries at the dead, facts about hosts as a lattice; bounded tables. Seen on the way: a full exchange that buries at once makes each side of a healed cut bury its own members for a moment; it only suspects now. Weighed: heartbeats through the leader (no leader, no view), all to all (grows with the fleet). CBOR for messages was written first and left: its reader recurses as deep as a stranger nests.

--- /dev/null
+++ b/src/view/message.h
@@ -0,0 +1,33 @@
+// What members tell one another of the fleet, and its wording on the links: JSON, whose reader does not
+// recurse, as that of CBOR does, however deep a stranger nests. It takes nothing that is not whole and sound.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "view/facts.h"
+#include "view/record.h"
+
+namespace lotusyard::view {
+
+struct Message {
+  enum class Kind : std::uint8_t {
+    ping,      // are you there?
+    ask,       // ping `about` for me
+    ack,       // `about` is there
+    nack,      // I am there; `about` has not answered me yet
+    exchange,  // all that I know; say what you know
+    reply      // all that I know
+  };
+  Kind kind = Kind::ping;
+  std::uint64_t number = 0;  // of the probe; an answer repeats it
+  Peer self;                 // the sender, as it knows itself
+  std::string about;
+  std::vector<Peer> peers;
+  std::vector<Fact> facts;
+};
+std::string worded(const Message& message);
+std::optional<Message> read_message(const std::string& body);
+
+}  // namespace lotusyard::view
--- /dev/null
+++ b/src/view/rumours.h
@@ -0,0 +1,39 @@
+// What is carried along with other messages, and how often yet. No I/O.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lotusyard::view {
+
+class Rumours {
+ public:
+  void spread(const std::string& key) { told_[key] = 0; }
+  void forget(const std::string& key) { told_.erase(key); }
+  std::size_t size() const { return told_.size(); }
+
+  // Those told least, at most so many; each goes out some multiple of log n times, then everybody has it but
+  // by bad luck, which full exchanges make good.
+  std::vector<std::string> take(std::size_t most, std::size_t members) {
+    const int often = static_cast<int>(std::ceil(kOften * std::log10(static_cast<double>(members) + 2)));
+    std::vector<std::pair<int, std::string>> order;
+    for (const auto& [key, times] : told_) order.emplace_back(times, key);
+    const std::size_t count = std::min(most, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < count; ++i) {
+      out.push_back(order[i].second);
+      if (++told_[order[i].second] >= often) told_.erase(order[i].second);
+    }
+    return out;
+  }
+
+ private:
+  static constexpr double kOften = 5;
+  std::map<std::string, int> told_;
+};
+
+}  // namespace lotusyard::view
