The module asks one gate wherever it considers a host; its share of a cold host comes from outside

Need: certificates and fits decide where a call or a copy may be; a filter behind the module would let it choose a host and then fail the call. How many share a cold host's budget is the fleet's to say, not a constant. Change: Gate in the module's interface, asked before sends, loads, welcomes and spreads, and by what counts lanes; where it is closed everywhere a call is refused at once. Settings.share. The last hop is told the call or the function. Weighed: tenants' rules inside the module (they are not its own, and change by the log), masks of hosts pushed in (a message for each host and tenant at every change).

--- a/include/robinfold/policy.h
+++ b/include/robinfold/policy.h
@@ -49,6 +49,7 @@
 struct Settings {
   std::string zone;
   int rank = 0, routers = 1;
+  double share = 0;  // this router's part of what all may send a cold worker; 0: as each of `routers`
   std::vector<ClassSettings> classes;
   std::vector<TenantSettings> tenants;
   std::map<std::string, double> kind_memory_mb;
@@ -190,6 +191,14 @@
     std::variant<action::Send, action::Load, action::Unload, action::Refuse, action::Fail, action::Cancel,
                  action::Probe, action::Tell, action::SetTimer, action::Watch, action::Log>;
 
+// Rules that stand outside the module: whether a call of the tenant for the function, or a copy for it, may be
+// at the worker now. Asked wherever a worker is considered.
+class Gate {
+ public:
+  virtual ~Gate() = default;
+  virtual bool open(const std::string& tenant, std::uint64_t function, const std::string& worker) = 0;
+};
+
 // The decisions of one router. Begin with a Start; it needs nothing but its own events.
 class Policy {
  public:
@@ -197,6 +206,7 @@
   ~Policy();
   Policy(Policy&&) noexcept;
   Policy& operator=(Policy&&) noexcept;
+  void guard(Gate* gate);  // outlives it; none: every worker may have everything
   void handle(Millis now, const Event& event, std::vector<Action>& out);
 
  private:
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -27,6 +27,7 @@
   membership::Membership& membership;
   hosts::Fleet& fleet;
   std::function<const core::Settings&()> settings;  // those in force
+  std::function<void(double)> set_share;            // this process's part of what all may send a cold host
   std::string name;
 };
 
@@ -34,9 +35,12 @@
 class Companion {
  public:
   virtual ~Companion() = default;
-  virtual bool ready() const = 0;                          // whether calls may come
-  virtual bool may_send(const std::string& host) = 0;      // asked before anything new goes to a host
-  virtual void before_writes() = 0;                        // in each turn, once all is decided
+  virtual bool ready() const = 0;  // whether calls may come
+  // The last look before anything new goes to a host: a call, a load of the function, or what names neither.
+  virtual bool may_send(const std::string& host, const core::Call* call, std::uint64_t function) = 0;
+  // Which hosts a call may go to at all; asked by the module for each. None: to all.
+  virtual robinfold::Gate* gate() { return nullptr; }
+  virtual void before_writes() = 0;  // in each turn, once all is decided
   virtual void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) = 0;
   virtual std::optional<console::Said> asked(const console::Request& request) = 0;  // at the operators' door
 };
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -16,9 +16,9 @@
 constexpr Millis kMostKill{
     3000};  // SIGKILL comes no sooner than the longest deadline, at most this, plus 0.7 s
 constexpr Millis kKillSlack{600};
-constexpr Millis kTakeFor{400};   // calls that come by then end before SIGKILL; a margin for a busy machine
-constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
-constexpr Millis kTurnMost{20};   // while it ends
+constexpr Millis kTakeFor{400};    // calls that come by then end before SIGKILL; a margin for a busy machine
+constexpr Millis kLookPace{200};   // what one process is told by hand holds for the other well within 1 s
+constexpr Millis kTurnMost{20};    // while it ends
 constexpr double kQuietAim = 0.8;  // a silent connection is asked for a sign in time for the shortest aim
 
 nlohmann::json read_file(const std::string& file) {
@@ -117,7 +117,7 @@
       front_(loop_, pool_, dispatcher_, counters_, front_limits()) {
   fleet_.attach(dispatcher_);
   outline_ = config::outline(std::move(outline_));
-  if (!folder_.empty()) look();  // before any host is named: none may be used that is out
+  if (!folder_.empty()) look();    // before any host is named: none may be used that is out
   join_companion(make_companion);  // before any host is named, too
   follow_list();
   listen();
@@ -129,6 +129,7 @@
   loop_.cancel(look_);
   fleet_.ask_before({});
   dispatcher_.watch({});
+  dispatcher_.guard(nullptr);
 }
 
 takeover::Shares Invoker::shares() const {
@@ -184,10 +185,18 @@
 void Invoker::join_companion(const CompanionMaker& make_companion) {
   if (!make_companion) return;
   const auto settings = [this]() -> const core::Settings& { return dispatcher_.settings(); };
-  companion_ =
-      make_companion({loop_, counters_, membership_, fleet_, settings, config_->name}, read_file(file_));
+  const auto share = [this](double part) {
+    core::Settings next = dispatcher_.settings();
+    next.share = part;
+    dispatcher_.retune(next);
+  };
+  companion_ = make_companion({loop_, counters_, membership_, fleet_, settings, share, config_->name},
+                              read_file(file_));
   if (!companion_) return;
-  fleet_.ask_before([this](const std::string& host) { return companion_->may_send(host); });
+  dispatcher_.guard(companion_->gate());
+  fleet_.ask_before([this](const std::string& host, const core::Call* call, std::uint64_t function) {
+    return companion_->may_send(host, call, function);
+  });
   dispatcher_.watch([this](const std::string& host, const core::Call& call, core::Outcome outcome) {
     companion_->attempt_ended(host, call, outcome);
   });
@@ -258,6 +267,7 @@
     config_ = next;
     outline_ = config::outline(file);
     fleet_.bound(host_limits(*config_, shares()));
+    next->settings.share = dispatcher_.settings().share;
     dispatcher_.retune(next->settings);
     if (triggers_) triggers_->retune(next->settings);
     counters_.add("config.reread");
--- a/src/company/company.h
+++ b/src/company/company.h
@@ -15,7 +15,9 @@
   Company(const Wiring& wiring, const group::Config& config);
 
   bool ready() const override { return crew_.ready(); }
-  bool may_send(const std::string& host) override { return crew_.may_send(host); }
+  bool may_send(const std::string& host, const core::Call*, std::uint64_t) override {
+    return crew_.may_send(host);
+  }
   void before_writes() override { crew_.before_writes(); }
   void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) override;
   std::optional<console::Said> asked(const console::Request& request) override;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -40,6 +40,7 @@
   // Told of each attempt's end, before the call's, where set.
   using Witness = std::function<void(const std::string& host, const Call& call, Outcome outcome)>;
   void watch(Witness witness) { witness_ = std::move(witness); }
+  void guard(robinfold::Gate* gate) { module_.guard(gate); }  // which hosts a call may go to at all
   const Settings& settings() const { return *settings_; }
 
   void tick();
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -84,6 +84,7 @@
   Steps report(Millis now, const Reported& what);
   Steps tick(Millis now);  // everything that is due
   Millis next_tick() const;
+  void guard(robinfold::Gate* gate) { policy_.guard(gate); }
 
  private:
   struct Due {
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -445,10 +445,10 @@
   most->end_later();
 }
 
-Fleet::Host* Fleet::ready_host(const std::string& id) {
+Fleet::Host* Fleet::ready_host(const std::string& id, const core::Call* call, std::uint64_t function) {
   const auto found = hosts_.find(id);
   const bool ready = found != hosts_.end() && found->second.member.entry.state == WorkerState::ready;
-  if (ready && (!may_send_ || may_send_(id))) return &found->second;
+  if (ready && (!may_send_ || may_send_(id, call, function))) return &found->second;
   counters_.add("guard.host_not_ready");
   return nullptr;
 }
@@ -498,7 +498,7 @@
 
 void Fleet::exec(const core::Attempt& attempt, const std::string& id, const core::Call& call,
                  Millis patience) {
-  Host* host = ready_host(id);
+  Host* host = ready_host(id, &call, call.function);
   Link* link = host == nullptr ? nullptr : link_for(*host, call.ref);
   if (link == nullptr) {
     return later([this, attempt] {
@@ -523,14 +523,14 @@
 }
 
 void Fleet::probe(const std::string& id) {
-  Host* host = ready_host(id);
+  Host* host = ready_host(id, nullptr, 0);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
   if (link != nullptr) return link->probe("p" + std::to_string(++last_tag_));
   later([this, id] { dispatcher_->probe_ended({id, Outcome::connect_failed, Millis(0), std::nullopt}); });
 }
 
 void Fleet::ensure(const std::string& id, std::uint64_t function, int copies) {
-  Host* host = ready_host(id);
+  Host* host = ready_host(id, nullptr, copies > 0 ? function : 0);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
   if (link != nullptr) return link->order("t" + std::to_string(++last_tag_), function, copies);
   later([this, id, function] {
@@ -539,7 +539,7 @@
 }
 
 void Fleet::release(const std::string& id, std::uint64_t function) {
-  Host* host = ready_host(id);
+  Host* host = ready_host(id, nullptr, 0);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
   if (link != nullptr) link->say({}, "release " + net::hex16(function) + "\r\n");
 }
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -24,8 +24,8 @@
 struct Limits {
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
   Sign sign = Sign::health;
-  Millis quiet{400};         // a connection is never asked sooner than after this, where answers take long
-  Millis past_kept{10000};   // a late answer to an attempt that has ended may still come for so long
+  Millis quiet{400};        // a connection is never asked sooner than after this, where answers take long
+  Millis past_kept{10000};  // a late answer to an attempt that has ended may still come for so long
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
   std::size_t longest_answer = 1U << 20;   // the body of one; a link holds at most one that is not whole yet
   std::size_t incoming = 32U << 20;        // bytes of answers that are not whole yet, over all links
@@ -43,8 +43,11 @@
   void cut(const std::string& host);
   // No call of this process is at the host: none is out, and what was given up has run out of time.
   bool free_of_calls(const std::string& host) const;
-  // Asked before anything new goes to a host, where set.
-  void ask_before(std::function<bool(const std::string& host)> may_send) { may_send_ = std::move(may_send); }
+  // Asked before anything new goes to a host, where set: a call, a load of the function, or what names
+  // neither.
+  using MaySend =
+      std::function<bool(const std::string& host, const core::Call* call, std::uint64_t function)>;
+  void ask_before(MaySend may_send) { may_send_ = std::move(may_send); }
   void bound(const Limits& limits) { limits_ = limits; }  // open connections keep to them from now on
 
   void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
@@ -70,13 +73,13 @@
   core::Dispatcher* dispatcher_ = nullptr;
   std::map<std::string, Host> hosts_;
   std::map<core::Attempt, Link*> attempts_;
-  std::function<bool(const std::string& host)> may_send_;
+  MaySend may_send_;
   std::size_t links_ = 0, incoming_ = 0;
   std::uint64_t last_tag_ = 0;
   Millis usual_answer_{0};  // moving average over all hosts
   double signs_left_ = 0;   // a token bucket, filled by what is sent
 
-  Host* ready_host(const std::string& id);
+  Host* ready_host(const std::string& id, const core::Call* call, std::uint64_t function);
   Link* link_for(Host& host, const std::string& ref);
   void later(std::function<void()> tell);
   core::Report read_report(const std::string& text) const;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -14,7 +14,7 @@
 constexpr int kFirstTries = 30;    // a vote on what a first try is given goes on for so many
 constexpr Millis kStood{50};        // an order answered sooner found its copies standing: no load is so short
 
-class Policy::State : decisions::Routing {
+class Policy::State : public decisions::Routing {
  public:
   void handle(Millis now, const Event& event, std::vector<Action>& out) {
     now_ = std::max(now, now_);
@@ -51,6 +51,7 @@
     if (const auto c = class_index_.find(e.class_name); c != class_index_.end()) r.cls = c->second;
     r.max_attempts = s_.max_attempts;
     r.function = &function_of(e, r.cls);
+    r.tenant = r.function->tenant = e.tenant;
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
     r.aim_at = c != nullptr && c->aim.count() > 0 ? std::min(r.deadline, now_ + c->aim) : r.deadline;
@@ -60,7 +61,7 @@
     record.first_tries = std::min(record.first_tries + (later ? -1 : 1), kFirstTries);
     if (record.first_tries < 0) std::tie(record.first_try, record.first_tries) = std::tuple(e.expires_in, 1);
     else if (c != nullptr && later) r.aim_at = std::min(r.aim_at, r.deadline - c->deadline + c->aim);
-    if (now_ >= r.deadline - s_.tick) return give_up(r);
+    if (now_ >= r.deadline - s_.tick || nowhere(r)) return give_up(r);
     act(action::SetTimer{r.deadline - s_.tick - now_, r.serial});
     hold(r, false);
     consider(*r.function);  // the arrival stands in the queue already: N + 1 is its length
@@ -83,9 +84,8 @@
     if (e.outcome == Outcome::ok || e.outcome == Outcome::full || e.outcome == Outcome::miss) note_alive(w);
     read_report(w, e.report);
     learn(f, w, c, r, e);
-    const bool ended = e.over || r.done;
-    if (ended) finish(r);
-    if (!ended && !r.out() && !r.streaming) try_again(r);
+    if (e.over || r.done) finish(r);
+    else if (!r.out() && !r.streaming) try_again(r);
     handoff(f, index);
   }
   void learn(Function& f, Worker& w, Copy& c, const Request& r, const event::Answer& e) {
@@ -108,9 +108,7 @@
         f.crowd += kFewGain * (e.crowd - f.crowd);
         f.missed = false;
         if (now_ >= w.ejected_until) w.probation = false;
-        c.standing = std::max(c.standing, 1);
-        c.proven = true;
-        c.used = now_;
+        std::tie(c.standing, c.proven, c.used) = std::tuple(std::max(c.standing, 1), true, now_);
         served_ = served_ * fading(served_at_, kRateTau) + work_of(r);
         served_at_ = now_;
         break;
@@ -127,10 +125,8 @@
         w.waiting_at = kNever;
         note_stretch(w, kFullStretch);
         break;
-      case Outcome::connect_failed:
-      case Outcome::reset: doubt(w, e.outcome == Outcome::reset); break;
-      case Outcome::error:
-      case Outcome::timeout:
+      case Outcome::connect_failed: case Outcome::reset: doubt(w, e.outcome == Outcome::reset); break;
+      case Outcome::error: case Outcome::timeout:
         // Danger: calls of functions that no worker knows fail wherever they go; that tells of no worker.
         if (r.attempts[static_cast<std::size_t>(e.attempt)].lost || !(f.run.known() || shared())) break;
         judge(w, r.cls, true, e.outcome == Outcome::error && elapsed < base_of(f) / 2);
@@ -179,7 +175,7 @@
   void on(const event::StreamBegan& e) { if (Request* r = find_request(e.id)) r->streaming = true; }
   void on(const event::Start& e) {
     State fresh;
-    std::tie(fresh.out_, fresh.now_, fresh.live_) = std::tuple(out_, now_, true);
+    std::tie(fresh.out_, fresh.now_, fresh.live_, fresh.gate_) = std::tuple(out_, now_, true, gate_);
     *this = std::move(fresh);
     random_.seed(e.settings.seed);
     on(event::Retune{e.settings});
@@ -228,15 +224,13 @@
     if (!live_) return;
     if (e.token == 0) return sweep();
     const auto found = requests_.find(e.token);
-    if (found == requests_.end() || found->second.done || found->second.streaming) return;
-    if (now_ + 2 * s_.tick >= found->second.deadline) give_up(found->second);
+    const bool held = found != requests_.end() && !found->second.done && !found->second.streaming;
+    if (held && now_ + 2 * s_.tick >= found->second.deadline) give_up(found->second);
   }
   void sweep() {
     act(action::SetTimer{kSweep, 0});
-    if (s_.ask_list && watch_at_ > kNever && now_ >= watch_at_) {
-      watch_at_ = kNever;
-      act(action::Watch{true});
-    }
+    const bool asks = s_.ask_list && watch_at_ > kNever && now_ >= watch_at_;
+    if (asks) act(action::Watch{std::exchange(watch_at_, kNever) > kNever});
     for (auto& f : functions_) upkeep(*f);
     find_lost();
     pump_all();
@@ -249,8 +243,7 @@
 Policy::~Policy() = default;
 Policy::Policy(Policy&&) noexcept = default;
 Policy& Policy::operator=(Policy&&) noexcept = default;
-void Policy::handle(Millis now, const Event& event, std::vector<Action>& out) {
-  state_->handle(now, event, out);
-}
+void Policy::guard(Gate* gate) { state_->gate_ = gate; }
+void Policy::handle(Millis now, const Event& e, std::vector<Action>& out) { state_->handle(now, e, out); }
 
 }  // namespace robinfold
--- a/src/policy/answers.h
+++ b/src/policy/answers.h
@@ -64,12 +64,12 @@
   // Danger: calls held past their aims take the lanes of calls that could meet theirs, and all are late. They
   // end at once, but for those that a load of ours is on the way for.
   void shed(Function& f) {
-    bool loading = false;
-    for (const auto& c : f.copies) loading = loading || c.loading > 0;
+    const auto loads = [](const Copy& c) { return c.loading > 0; };
+    const bool loading = std::any_of(f.copies.begin(), f.copies.end(), loads);
     for (const auto serial : std::vector<std::uint64_t>(f.queue.begin(), f.queue.end())) {
       Request& r = requests_.at(serial);
       const bool too_late = now_ + Millis(base_of(f)) > r.deadline;
-      if (too_late || !(loading || worth_holding(r))) give_up(r);
+      if (too_late || !(loading || worth_holding(r)) || nowhere(r)) give_up(r);
     }
   }
 };
--- a/src/policy/copies.h
+++ b/src/policy/copies.h
@@ -40,8 +40,7 @@
     std::sort(order.begin(), shared);
     f.places.clear();
     for (const auto& [hash, index] : order) f.places.push_back(index);
-    f.agreed = wanted;
-    f.list_version = list_version_;
+    std::tie(f.agreed, f.list_version) = std::tuple(wanted, list_version_);
   }
   Request* head(Function& f) {  // the first that can still meet its aim, else the first
     for (const auto serial : f.queue) { if (in_aim(requests_.at(serial))) return &requests_.at(serial); }
@@ -60,7 +59,7 @@
     for (const auto& c : f.copies) {
       Worker& w = worker(c);
       if (!usable(w) || !serves(w, f.cls) || !worth_sending(r, w) || now_ < w.full_until) continue;
-      if (shared() && !may_warm(r, w)) continue;
+      if ((shared() && !may_warm(r, w)) || !eligible(r.tenant, f, w)) continue;
       const int copies = (warm(c) ? c.standing : 0) + c.loading;
       const int room = std::max(0, static_cast<int>(std::ceil(w.limit)) - w.inflight);
       k += std::min(copies * f.lanes, c.busy + room);
@@ -85,7 +84,7 @@
   void welcome(Function& f) {
     for (auto& w : workers_) {
       const bool idle = f.queue.empty() && fresh(w) && now_ - std::max(w.started, w.heard) >= kAlive;
-      if (!idle || shared() || !s_.orders || !may_load(w) || !may_order()) continue;
+      if (!idle || shared() || !s_.orders || !may_load(w) || !may_order() || !eligible(f.tenant, f, w)) continue;
       w.heard = now_;
       return order_load(f, w, copy_at(f, index_of(w)));
     }
@@ -93,7 +92,8 @@
 
   // A function that meets its own calls at a crowded worker gets a copy where one found none, for later.
   void spread(Function& f, Worker& w, Copy& c) {
-    if (!shared() || f.crowd < kCrowdBusy || f.places.empty() || f.places[0] == c.worker) return;
+    const bool here = f.places.empty() || f.places[0] == c.worker || !eligible(f.tenant, f, w);
+    if (!shared() || f.crowd < kCrowdBusy || here) return;
     const Worker& first = at(f.places[0]);
     const bool crowded = usable(first) && held_at(first) + 1 >= kCrowded * first.weight;
     if (crowded && may_load(w) && may_order() && now_ >= f.order_after && !cold(w)) order_load(f, w, c);
@@ -109,7 +109,7 @@
       Worker& w = at(index);
       if (!s_.miss_is_answered && !in_time && met > kSpill * f.agreed) return -1;
       if (usable(w) && serves(w, f.cls) && !cold(w)) ++met;
-      if (!may_load(w) || !serves(w, f.cls) || !has_room(w)) continue;
+      if (!may_load(w) || !serves(w, f.cls) || !has_room(w) || !eligible(r->tenant, f, w)) continue;
       const Copy* c = find_copy(f, index);
       if (c != nullptr && (warm(*c) || c->loading > 0)) continue;
       const bool order = shared() && s_.miss_is_answered && s_.orders;  // an order weighs nothing
@@ -120,8 +120,7 @@
   void order_load(Function& f, Worker& w, Copy& c) {
     act(action::Load{w.worker, f.id, warm(c) ? std::min(c.standing + 1, 16) : 1});
     if (s_.load_window.count() > 0) ordered_.push_back(now_);
-    loads_out_ += 1 - c.loading;
-    c.loading = 1;
+    loads_out_ += 1 - std::exchange(c.loading, 1);
     c.load_began = c.used = now_;
   }
   bool may_load(const Worker& w) const { return usable(w) && loads_out_ < kLoadsOut; }
@@ -151,8 +150,7 @@
     const auto stale = [&](const std::unique_ptr<Function>& f) {
       const Millis kept = functions_.size() > kFunctionsMost ? kSweep : f->run.known() ? kForget : kForgetNew;
       const bool unused = f->queue.empty() && f->copies.empty() && now_ - f->seen > kept;
-      if (unused) function_index_.erase(f->id);
-      return unused;
+      return unused && function_index_.erase(f->id) > 0;
     };
     functions_.erase(std::remove_if(functions_.begin(), functions_.end(), stale), functions_.end());
   }
--- a/src/policy/hosts.h
+++ b/src/policy/hosts.h
@@ -162,15 +162,13 @@
   }
   void note_alive(Worker& w) {
     w.answered = now_;
-    if (!std::exchange(w.lost, false)) return;
-    w.died = now_;
-    w.cold_filled = kNever;
+    if (std::exchange(w.lost, false)) std::tie(w.died, w.cold_filled) = std::tuple(now_, kNever);
   }
   double fleet_rate() const {  // what this router gets served by a warm worker, for each millisecond
     double all = 0;
     for (const auto& w : workers_) all += w.state == WorkerState::ready && !cold(w);
     const double served = served_ * fading(served_at_, kRateTau) / kRateTau.count();
-    return all > 0 && served > 0 ? served / all : 1.0 / s_.routers;
+    return all > 0 && served > 0 ? served / all : my_part();
   }
   void take_entry(int index, const WorkerEntry& entry) {
     Worker& w = at(index);
@@ -197,7 +195,7 @@
     const double share = s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age);
     // Danger: what one of many gets from a warm worker is part of what that can do; many part its cores.
     const double work = cold_work(r);
-    const double part = shared() ? w.weight / s_.routers : fleet_rate();
+    const double part = shared() ? w.weight * my_part() : fleet_rate();
     const double pace = kColdSafety * s_.cold_multiple * share * part;
     if (w.cold_filled == kNever) w.cold_tokens = work * chance();
     if (w.cold_filled > kNever) w.cold_tokens += pace * (now_ - w.cold_filled).count();
@@ -228,8 +226,8 @@
   // Danger: ids of workers never come back; kept for good, each deploy would leave some behind.
   void prune_workers() {
     for (auto& w : workers_) {
-      const bool unused = w.state == WorkerState::gone && w.inflight == 0 && now_ - w.gone > kForget;
-      if (!unused || w.worker.empty()) continue;
+      const bool used = w.state != WorkerState::gone || w.inflight > 0 || now_ - w.gone <= kForget;
+      if (used || w.worker.empty()) continue;
       const int index = index_of(w);
       forget_copies(index);
       worker_index_.erase(w.worker);
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -29,6 +29,7 @@
 };
 struct Function {
   std::uint64_t id = 0;
+  std::string tenant;  // whose call came last
   int cls = -1, lanes = 1;
   Average run, load;
   double base = 0, load_hint = 0, arrivals = 0, crowd = 0;  // unloaded R; own calls, decaying; others met
@@ -70,7 +71,7 @@
 };
 inline bool is_out(const Attempt& a) { return a.state == AttemptState::out; }
 struct Request {
-  std::string id;
+  std::string id, tenant;
   std::uint64_t serial = 0;
   int cls = -1, max_attempts = 1;
   Function* function = nullptr;
@@ -84,6 +85,7 @@
 struct Records {
   Settings s_;
   std::vector<Action>* out_ = nullptr;
+  Gate* gate_ = nullptr;
   bool live_ = false, reports_queue_ = false;
   std::mt19937_64 random_;
   std::vector<Worker> workers_;
@@ -119,6 +121,14 @@
     return !live_ || found == request_index_.end() ? nullptr : &requests_.at(found->second);
   }
   bool shared() const { return s_.routers >= kShared; }
+  double my_part() const { return s_.share > 0 ? s_.share : 1.0 / s_.routers; }
+  bool eligible(const std::string& tenant, const Function& f, const Worker& w) const {
+    return gate_ == nullptr || gate_->open(tenant, f.id, w.worker);
+  }
+  bool nowhere(const Request& r) const {  // held for nothing: no worker may have it
+    for (const auto& w : workers_) { if (eligible(r.tenant, *r.function, w)) return false; }
+    return gate_ != nullptr && !workers_.empty();
+  }
   static std::size_t slot(int cls) { return static_cast<std::size_t>(cls + 1); }  // 0: no known class
   void hold(Request& r, bool front) {
     auto& queue = r.function->queue;
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -134,7 +134,6 @@
     return;
   }
   if (name == "Init") {
-    instance.policy = Policy();
     instance.live = true;
     instance.policy.handle(now, event::Start{read_settings(at(m, 2), large(at(m, 1)))}, out);
     return;
--- a/src/view/swim_hears.cpp
+++ b/src/view/swim_hears.cpp
@@ -88,11 +88,19 @@
 void Swim::receive(Millis now, const Message& m) {
   if (usurped_ || gone_) return;
   heard_ = now;
+  const std::uint64_t round = self_.round;
   take(m.self, now);
   const bool whole = m.kind == Message::Kind::exchange || m.kind == Message::Kind::reply;
   for (const auto& peer : m.peers) whole ? take_said(peer, now) : take(peer, now);
   for (const auto& fact : m.facts) take(fact);
   if (usurped_) return;
+  // Whoever spoke ill of this member hears at once that it is well, and so do some others: the fewer have to
+  // wait for a rumour, the fewer bury it.
+  if (self_.round > round) {
+    if (m.kind != Message::Kind::ping) send(m.self.address, Message::Kind::nack, 0, {}, &self_);
+    for (const Peer* other : some(2 * pace_.others, m.self.name))
+      send(other->address, Message::Kind::nack, 0, {}, &self_);
+  }
   answer(m, now);
 }
 
