Members keep a view of the fleet and share a cold host's budget by it: parts agreed in the log

Need: how many invokers share was a constant of the settings; with one down a part lay idle, with one more the sum passed the rule, and each side of a cut would take the other's part if it went by its own view. Change: group.view. src/view/viewer wires the view to the links; src/shares parts the whole by epochs in the log: a part grows only once those that give theirs up have followed or provably lost their lease, and shrinks at once when the view shows more. A member that ends on purpose says so. A beat of a life that the board ended grants no lease. Weighed: by the view alone (each side of a cut takes all), by the leader's word (no part without it).

--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -311,6 +311,7 @@
     front_.drain();
   }
   if (triggers_) triggers_->drain();
+  if (companion_) companion_->drain();
 }
 
 bool Invoker::ended() {
--- a/src/company/company.cpp
+++ b/src/company/company.cpp
@@ -20,10 +20,19 @@
       config_(config),
       lease_(config.terms, wiring.loop.now()),
       crew_(wiring, config_, lease_, [this](const std::string& text) { note("works", text); }),
-      member_(wiring.loop, wiring.counters, config_, {&crew_},
+      sharing_(wiring, config_, crew_, [this](const std::string& text) { note("shares", text); }),
+      member_(wiring.loop, wiring.counters, config_, {&crew_, &sharing_},
               [this](const std::string& text) { note("works", text); }) {
   built_ = true;
   crew_.attach(member_);
+  if (config_.view) {
+    viewer_.emplace(
+        wiring, config_, member_, [this](const std::string& host) { return crew_.sees_down(host); },
+        [this](const std::string& text) { note("view", text); });
+    sharing_.attach(member_);
+    crew_.when_changed([this] { follow(); });
+    viewer_->when_changed([this] { follow(); });
+  }
   note("works",
        "life=" + std::to_string(member_.life()) + " starts" + (config.serves ? "" : ", serves no calls"));
 }
@@ -34,6 +43,12 @@
                  " index=" + std::to_string(crew_.board().index()) + ' ' + text);
 }
 
+// Parts and standing hang on the lease, on the log and on the view.
+void Company::follow() {
+  if (crew_.ready() && config_.serves) viewer_->serve();
+  sharing_.update(viewer_->seen());
+}
+
 void Company::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
   crew_.attempt_ended(host, call, outcome);
 }
@@ -41,6 +56,13 @@
 std::optional<console::Said> Company::asked(const console::Request& request) {
   if (request.path == "/-/group")
     return request.method == "GET" ? console::Said{200, show_group().dump()} : console::Said{405, "GET"};
+  if (request.path == "/-/view" && viewer_) {
+    if (request.method != "GET") return console::Said{405, "GET"};
+    nlohmann::json shown = viewer_->shown();
+    shown["part"] = sharing_.part();
+    shown["sharers"] = sharing_.epochs().now();
+    return console::Said{200, shown.dump()};
+  }
   return crew_.asked(request);
 }
 
--- a/src/company/company.h
+++ b/src/company/company.h
@@ -6,6 +6,8 @@
 
 #include "app/app.h"
 #include "group/member.h"
+#include "shares/sharing.h"
+#include "view/viewer.h"
 #include "works/crew.h"
 
 namespace lotusyard::company {
@@ -18,6 +20,9 @@
   bool may_send(const std::string& host, const core::Call*, std::uint64_t) override {
     return crew_.may_send(host);
   }
+  void drain() override {
+    if (viewer_) viewer_->leave();
+  }
   void before_writes() override { crew_.before_writes(); }
   void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) override;
   std::optional<console::Said> asked(const console::Request& request) override;
@@ -28,7 +33,11 @@
   group::Lease lease_;
   bool built_ = false;
   works::Crew crew_;
-  group::Member member_;  // last: it calls the parts from its construction on
+  shares::Sharing sharing_;
+  group::Member member_;  // it calls the parts from its construction on
+  std::optional<view::Viewer> viewer_;
+
+  void follow();
 
   void note(const std::string& part, const std::string& text) const;
   nlohmann::json show_group() const;
--- a/src/group/config.cpp
+++ b/src/group/config.cpp
@@ -63,8 +63,8 @@
   const json& from = config::key(file, "group");
   if (from.is_null()) return std::nullopt;
   if (!from.is_object()) throw config::ConfigError("configuration: group: an object is needed");
-  static const char* const known[] = {"cluster", "member",   "store", "listen",      "address",
-                                      "members", "lease_ms", "drift", "election_ms", "serves"};
+  static const char* const known[] = {"cluster",  "member", "store",       "listen", "address", "members",
+                                      "lease_ms", "drift",  "election_ms", "serves", "view"};
   for (const auto& [key, value] : from.items()) {
     const auto same = [&key = key](const char* k) { return key == k; };
     if (std::none_of(std::begin(known), std::end(known), same)) fault(key, "no such key");
@@ -102,6 +102,17 @@
   if (out.election > out.terms.lease)
     fault("election_ms", "longer than lease_ms: no lease would outlive a leader");
   out.serves = flag(from, "serves", "serves", true);
+  const json& view = config::key(from, "view");
+  if (view.is_null()) return out;
+  if (!view.is_object()) fault("view", "an object is needed");
+  for (const auto& [key, value] : view.items()) {
+    if (key != "period_ms") fault("view." + key, "no such key");
+  }
+  const json& period = config::key(view, "period_ms");
+  if (!period.is_null() &&
+      !(period.is_number() && period.get<double>() >= 50 && period.get<double>() <= 60000))
+    fault("view.period_ms", "must lie between 50 and 60000");
+  out.view = robinfold::Millis(config::number(period, 500));
   return out;
 }
 
--- a/src/group/config.h
+++ b/src/group/config.h
@@ -21,6 +21,7 @@
   bool serves = true;         // takes calls; else it only votes and learns
   Terms terms;
   robinfold::Millis election{1000};
+  std::optional<robinfold::Millis> view;  // the period of the fleet's view; nothing: none is kept
 };
 
 // Throws config::ConfigError naming the key; nothing: the file has no such part. `last_call`: the longest
--- a/src/view/pace.h
+++ b/src/view/pace.h
@@ -23,7 +23,7 @@
 
   // With n members and the given number of accusers beside the first.
   Millis suspicion(std::size_t n, std::size_t further) const {
-    const double tenfolds = std::max(1.0, std::log10(static_cast<double>(std::max<std::size_t>(n, 1))));
+    const double tenfolds = std::max(2.0, std::log10(static_cast<double>(std::max<std::size_t>(n, 1))));
     const std::size_t wanted = n > 2 ? std::min(accusers, n - 2) : 0;  // all but it and the first
     const double low = least * tenfolds, high = wanted == 0 ? low * 2 : most / least * low / 2;
     const double part = wanted == 0 ? 0
--- a/src/view/rumours.h
+++ b/src/view/rumours.h
@@ -18,7 +18,7 @@
   // Those told least, at most so many; each goes out some multiple of log n times, then everybody has it but
   // by bad luck, which full exchanges make good.
   std::vector<std::string> take(std::size_t most, std::size_t members) {
-    const int often = static_cast<int>(std::ceil(kOften * std::log10(static_cast<double>(members) + 2)));
+    const int often = times_for(members);
     std::vector<std::pair<int, std::string>> order;
     for (const auto& [key, times] : told_) order.emplace_back(times, key);
     const std::size_t count = std::min(most, order.size());
@@ -31,8 +31,20 @@
     return out;
   }
 
+  // One has been told all of it. Danger: counted as nothing, a large fleet would be told all of it for
+  // minutes.
+  void told_whole(std::size_t members) {
+    const int often = times_for(members);
+    for (auto i = told_.begin(); i != told_.end();)
+      i = (i->second += kWhole) >= often ? told_.erase(i) : std::next(i);
+  }
+
  private:
   static constexpr double kOften = 5;
+  static constexpr int kWhole = 3;  // who is told everything at once passes it on at once as well
+  static int times_for(std::size_t members) {
+    return static_cast<int>(std::ceil(kOften * std::log10(static_cast<double>(members) + 2)));
+  }
   std::map<std::string, int> told_;
 };
 
--- a/src/view/swim_hears.cpp
+++ b/src/view/swim_hears.cpp
@@ -23,6 +23,8 @@
   if (whole) {
     for (const auto& [name, known] : roll_.all()) out.peers.push_back(known.peer);
     out.facts = facts_.all();
+    peers_told_.told_whole(roll_.here_count());
+    facts_told_.told_whole(roll_.here_count());
   } else {
     for (const auto& name : peers_told_.take(pace_.carried_most, roll_.here_count())) {
       if (const Peer* peer = roll_.find(name)) out.peers.push_back(*peer);
--- a/src/works/crew.cpp
+++ b/src/works/crew.cpp
@@ -147,7 +147,11 @@
   wiring_.counters.add("works.entries");
   if (entry->kind == Kind::beats) {
     for (const auto& beat : entry->beats) {
-      if (beat.member == name() && beat.life == member_->life()) lease_.agreed(beat.stamp);
+      // Danger: a sign of life that was on its way when the member was said to be gone, or began another
+      // life.
+      const auto mine = board_.members().find(beat.member);
+      const bool holds = mine != board_.members().end() && mine->second.life == beat.life;
+      if (holds && beat.member == name() && beat.life == member_->life()) lease_.agreed(beat.stamp);
     }
     if (!leased_) return follow();
     return changed_ ? changed_() : void();
--- a/src/works/crew.h
+++ b/src/works/crew.h
@@ -29,6 +29,7 @@
   void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome);
   std::optional<console::Said> asked(const console::Request& request);
   const Board& board() const { return board_; }
+  bool sees_down(const std::string& host) const { return watch_.down(host, now()); }
   bool leased() const { return !failed_ && lease_.holds(now()); }
   bool has_failed() const { return failed_; }
   // Told whenever an entry has been applied, or the lease has come or gone.
