Regulated tenants only on certified hosts: regimes and certificates in the log, asked by one gate

Need: a winery under an export or excise regime may be served only where a host is certified, and a host may lose that at any moment; a member that cannot know must not send. Change: src/compliance: a book without I/O (all regimes needed, zone, exclusive, expiry to the safe side, starts anew), an officer at each member. A revocation ends once every member that serves has let the last call under it run out, or has provably lost its lease; till then it says who is waited for. The company is the module's gate; the last hop asks again; refusals are counted by reason, with tenant and regime in the line. Weighed: soft fail (is no check), a certificate service that is asked at each call (a further thing that fails).

--- a/src/app/app.h
+++ b/src/app/app.h
@@ -42,6 +42,7 @@
   virtual robinfold::Gate* gate() { return nullptr; }
   virtual void before_writes() = 0;  // in each turn, once all is decided
   virtual void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) = 0;
+  virtual void refused(const core::Call&) {}  // a call that never went out
   virtual void drain() {}  // the process has been told to end, and answers what it has taken
   virtual std::optional<console::Said> asked(const console::Request& request) = 0;  // at the operators' door
 };
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -129,6 +129,7 @@
   loop_.cancel(look_);
   fleet_.ask_before({});
   dispatcher_.watch({});
+  dispatcher_.watch_refusals({});
   dispatcher_.guard(nullptr);
 }
 
@@ -194,6 +195,7 @@
                               read_file(file_));
   if (!companion_) return;
   dispatcher_.guard(companion_->gate());
+  dispatcher_.watch_refusals([this](const core::Call& call) { companion_->refused(call); });
   fleet_.ask_before([this](const std::string& host, const core::Call* call, std::uint64_t function) {
     return companion_->may_send(host, call, function);
   });
--- a/src/company/company.cpp
+++ b/src/company/company.cpp
@@ -21,16 +21,18 @@
       lease_(config.terms, wiring.loop.now()),
       crew_(wiring, config_, lease_, [this](const std::string& text) { note("works", text); }),
       sharing_(wiring, config_, crew_, [this](const std::string& text) { note("shares", text); }),
-      member_(wiring.loop, wiring.counters, config_, {&crew_, &sharing_},
+      officer_(wiring, config_, crew_, [this](const std::string& text) { note("compliance", text); }),
+      member_(wiring.loop, wiring.counters, config_, {&crew_, &sharing_, &officer_},
               [this](const std::string& text) { note("works", text); }) {
   built_ = true;
   crew_.attach(member_);
+  officer_.attach(member_);
+  crew_.when_changed([this] { follow(); });
   if (config_.view) {
     viewer_.emplace(
         wiring, config_, member_, [this](const std::string& host) { return crew_.sees_down(host); },
         [this](const std::string& text) { note("view", text); });
     sharing_.attach(member_);
-    crew_.when_changed([this] { follow(); });
     viewer_->when_changed([this] { follow(); });
   }
   note("works",
@@ -45,10 +47,44 @@
 
 // Parts and standing hang on the lease, on the log and on the view.
 void Company::follow() {
+  officer_.update();
+  if (!viewer_) return;
   if (crew_.ready() && config_.serves) viewer_->serve();
   sharing_.update(viewer_->seen());
 }
 
+// Asked by the module for each host that it considers. List, hand and works have had their say before: what
+// they leave out is no host to the module.
+bool Company::open(const std::string& tenant, std::uint64_t function, const std::string& host) {
+  if (officer_.book().empty()) return true;
+  if (tenant_of_.size() >= functions_most) tenant_of_.clear();  // the one place where it shrinks
+  tenant_of_[function] = tenant;
+  return officer_.may(tenant, host).may;
+}
+
+// Danger: between the module's choice and the kernel a lease may have ended, or a revocation have come.
+bool Company::may_send(const std::string& host, const core::Call* call, std::uint64_t function) {
+  if (!crew_.may_send(host)) return false;
+  if (officer_.book().empty()) return true;
+  if (call != nullptr) return officer_.last_look(call->tenant, host);
+  if (function == 0) return true;  // it only asks
+  const auto found = tenant_of_.find(function);
+  return found != tenant_of_.end() && officer_.last_look(found->second, host);
+}
+
+void Company::refused(const core::Call& call) {
+  if (officer_.book().empty()) return;
+  compliance::Verdict verdict;
+  for (const auto& [host, member] : wiring_.membership.hosts()) {
+    verdict = officer_.may(call.tenant, host);
+    if (verdict.may) return;  // not refused by these rules
+  }
+  if (verdict.may) return;
+  wiring_.counters.add(std::string("compliance.refused.") + verdict.reason);
+  note("compliance",
+       "refused tenant=" + call.tenant + " regime=" + verdict.regime + " reason=" + verdict.reason);
+}
+
 void Company::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
   crew_.attempt_ended(host, call, outcome);
 }
@@ -63,6 +99,7 @@
     shown["sharers"] = sharing_.epochs().now();
     return console::Said{200, shown.dump()};
   }
+  if (auto said = officer_.asked(request)) return said;
   return crew_.asked(request);
 }
 
--- a/src/company/company.h
+++ b/src/company/company.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <memory>
+#include <unordered_map>
 
 #include "app/app.h"
+#include "compliance/officer.h"
 #include "group/member.h"
 #include "shares/sharing.h"
 #include "view/viewer.h"
@@ -12,14 +14,15 @@
 
 namespace lotusyard::company {
 
-class Company final : public Companion {
+class Company final : public Companion, private robinfold::Gate {
  public:
   Company(const Wiring& wiring, const group::Config& config);
 
   bool ready() const override { return crew_.ready(); }
-  bool may_send(const std::string& host, const core::Call*, std::uint64_t) override {
-    return crew_.may_send(host);
-  }
+  bool may_send(const std::string& host, const core::Call* call, std::uint64_t function) override;
+  robinfold::Gate* gate() override { return this; }
+  bool open(const std::string& tenant, std::uint64_t function, const std::string& host) override;
+  void refused(const core::Call& call) override;
   void drain() override {
     if (viewer_) viewer_->leave();
   }
@@ -34,9 +37,12 @@
   bool built_ = false;
   works::Crew crew_;
   shares::Sharing sharing_;
-  group::Member member_;  // it calls the parts from its construction on
+  compliance::Officer officer_;
+  std::unordered_map<std::uint64_t, std::string> tenant_of_;  // by function: who asked for it last
+  group::Member member_;                                      // it calls the parts from its construction on
   std::optional<view::Viewer> viewer_;
 
+  static constexpr std::size_t functions_most = 8192;
   void follow();
 
   void note(const std::string& part, const std::string& text) const;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -282,6 +282,7 @@
 void Dispatcher::carry_out(const RefuseStep& step) {
   Open* open = find(step.call);
   if (open == nullptr) return;
+  if (refused_ && open->attempts == 0) refused_(open->call);
   drop_all(step.call, *open);
   if ((open = find(step.call)) == nullptr) return;
   // A refusal says that trying again is harmless; what may have run is failed, with the same advice.
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -40,6 +40,9 @@
   // Told of each attempt's end, before the call's, where set.
   using Witness = std::function<void(const std::string& host, const Call& call, Outcome outcome)>;
   void watch(Witness witness) { witness_ = std::move(witness); }
+  // Told of each call that is refused and never went out, where set.
+  using Refused = std::function<void(const Call& call)>;
+  void watch_refusals(Refused refused) { refused_ = std::move(refused); }
   void guard(robinfold::Gate* gate) { module_.guard(gate); }  // which hosts a call may go to at all
   const Settings& settings() const { return *settings_; }
 
@@ -58,7 +61,7 @@
     Front* front = nullptr;
     std::shared_ptr<const Settings> rules;
     const robinfold::ClassSettings* cls = nullptr;  // in `rules`
-    bool may_have_run = false;  // one of those that have ended
+    bool may_have_run = false;                      // one of those that have ended
     int attempts = 0;
     std::vector<Out> out;
     bool keyed() const { return cls->semantics == robinfold::Semantics::keyed; }
@@ -87,6 +90,7 @@
   std::deque<Step> steps_;
   bool running_ = false;
   Witness witness_;
+  Refused refused_;
 
   void run(Steps&& steps);
   void carry_out(const SendStep& step);
--- a/tests/lotusyard/fleet_test.cpp
+++ b/tests/lotusyard/fleet_test.cpp
@@ -142,5 +142,89 @@
   CHECK(fleet.broken_rule(1) == "");
 }
 
+// An operator's word about regimes, at any member, until all have applied it.
+void agree(Fleet& fleet, nlohmann::json what, const std::string& id, const std::set<std::string>& but = {}) {
+  what["id"] = id;
+  double again = 0;
+  const bool agreed = fleet.soon([&] {
+    if (fleet.world.loop.now().count() >= again) {
+      fleet.s.ask(fleet.members[0]->door, "POST", "/-/compliance/propose/" + Crews::escaped(what.dump()));
+      again = fleet.world.loop.now().count() + 500;
+    }
+    return std::all_of(fleet.members.begin(), fleet.members.end(), [&](const auto& m) {
+      return but.count(m->name) != 0 || fleet.s.ask(m->door, "GET", "/-/compliance/outcome/" + id) == 200;
+    });
+  });
+  INFO(fleet.all_logs());
+  REQUIRE(agreed);
+}
+// When the last member, of those that follow, wrote such a line.
+double wrote(const Fleet& fleet, const std::string& text) {
+  double out = 0;
+  for (const auto& line : fleet.lines()) {
+    const auto at = line.find(" at=");
+    if (line.find(text) != std::string::npos && at != std::string::npos)
+      out = std::max(out, std::stod(line.substr(at + 4)));
+  }
+  return out;
+}
+std::size_t calls_at(const Fleet& fleet, std::size_t host, double after) {
+  const auto& all = fleet.execs.at(host);
+  return static_cast<std::size_t>(
+      std::count_if(all.begin(), all.end(), [&](const auto& e) { return e.at > after; }));
+}
+
+TEST_CASE("regulated calls stay at certified hosts; a revocation's answer holds; who cannot know sends none",
+          "[processes]") {
+  Fleet fleet(53, 3);
+  REQUIRE(fleet.all_ready(30));
+  const auto certify = [](const std::string& name, const std::string& host) {
+    return nlohmann::json{{"t", "certify"},
+                          {"certificate",
+                           {{"name", name},
+                            {"host", host},
+                            {"regime", "export"},
+                            {"from_ms", 1},
+                            {"until_ms", 4e12},
+                            {"outlives_start", true}}}};
+  };
+  agree(fleet, {{"t", "regime"}, {"regime", {{"name", "export"}}}}, "1");
+  agree(fleet, {{"t", "tenant"}, {"tenant", ""}, {"regimes", {"export"}}}, "2");
+  agree(fleet, certify("c0", "h0"), "3");
+  agree(fleet, certify("c1", "h1"), "4");
+  const auto wait = [&](double ms) {
+    const double till = fleet.world.loop.now().count() + ms;
+    fleet.until([&] { return fleet.world.loop.now().count() > till; }, 20);
+  };
+  const double agreed = fleet.world.loop.now().count();
+  wait(1500);
+  CHECK(calls_at(fleet, 0, agreed) + calls_at(fleet, 1, agreed) > 50);
+  CHECK(calls_at(fleet, 2, agreed) + calls_at(fleet, 3, agreed) == 0);
+
+  agree(fleet, {{"t", "revoke"}, {"name", "c0"}}, "5");
+  const bool ended = fleet.soon([&] { return wrote(fleet, "\"t\":\"ended\"") > 0; });
+  {
+    INFO(fleet.all_logs());
+    REQUIRE(ended);
+  }
+  const double answered = wrote(fleet, "\"t\":\"ended\"");
+  wait(1000);
+  CHECK(calls_at(fleet, 0, answered) == 0);
+  CHECK(calls_at(fleet, 1, answered) > 50);
+
+  const auto& away = *fleet.members[2];
+  fleet.cut_off(away, true);
+  REQUIRE(fleet.soon([&] { return wrote(fleet, "nothing regulated goes out") > 0; }));
+  REQUIRE(fleet.soon([&] { return wrote(fleet, "member=c") > 0 && wrote(fleet, "reason=not_known") > 0; }));
+  // Nobody waits for it longer than its lease and its last call can last.
+  agree(fleet, {{"t", "revoke"}, {"name", "c1"}}, "6", {"c"});
+  const double revoked = fleet.world.loop.now().count();
+  REQUIRE(fleet.soon([&] { return wrote(fleet, "\"name\":\"c1\",\"round\"") > revoked; }));
+  const double over = wrote(fleet, "\"name\":\"c1\",\"round\"");
+  wait(1000);
+  for (std::size_t host = 0; host < 4; ++host) CHECK(calls_at(fleet, host, over) == 0);
+  CHECK(fleet.broken_rule(1) == "");
+}
+
 }  // namespace
 }  // namespace lotusyard::test
