--- a/include/robinfold/policy.h
+++ b/include/robinfold/policy.h
@@ -191,8 +191,8 @@
     std::variant<action::Send, action::Load, action::Unload, action::Refuse, action::Fail, action::Cancel,
                  action::Probe, action::Tell, action::SetTimer, action::Watch, action::Log>;
 
-// Rules that stand outside the module: whether a call of the tenant for the function, or a copy for it, may be
-// at the worker now. Asked wherever a worker is considered.
+// Rules that stand outside the module: whether a call of the tenant for the function, or a copy for it, may
+// be at the worker now. Asked wherever a worker is considered.
 class Gate {
  public:
   virtual ~Gate() = default;
--- a/src/policy/copies.h
+++ b/src/policy/copies.h
@@ -84,7 +84,8 @@
   void welcome(Function& f) {
     for (auto& w : workers_) {
       const bool idle = f.queue.empty() && fresh(w) && now_ - std::max(w.started, w.heard) >= kAlive;
-      if (!idle || shared() || !s_.orders || !may_load(w) || !may_order() || !eligible(f.tenant, f, w)) continue;
+      const bool asks = s_.orders && !shared() && eligible(f.tenant, f, w);
+      if (!idle || !asks || !may_load(w) || !may_order()) continue;
       w.heard = now_;
       return order_load(f, w, copy_at(f, index_of(w)));
     }
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -101,11 +101,10 @@
     consider(f);
   }
   bool may_send(const Request& r, Worker& w) {
-    if (r.done || r.streaming || now_ >= r.deadline) return false;
+    if (r.done || r.streaming || now_ >= r.deadline || !eligible(r.tenant, *r.function, w)) return false;
     if (static_cast<int>(r.attempts.size()) >= r.max_attempts || r.out() > s_.second_copies) return false;
     for (const auto& a : r.attempts) { if (is_out(a) && &at(a.worker) == &w) return false; }
-    const bool fit = usable(w) && serves(w, r.cls) && eligible(r.tenant, *r.function, w);
-    return fit && may_repeat(r, &w) && may_warm(r, w);
+    return usable(w) && serves(w, r.cls) && may_repeat(r, &w) && may_warm(r, w);
   }
   void send(Request& r, Copy& c) {
     Worker& w = worker(c);
