--- a/src/compliance/entry.cpp
+++ b/src/compliance/entry.cpp
@@ -1,4 +1,5 @@
 // The wording of what members agree upon about regimes and certificates, and the book's snapshot.
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <stdexcept>
@@ -44,12 +45,17 @@
   return found->get<std::uint64_t>();
 }
 
+void only(const json& from, const std::string& path, std::initializer_list<const char*> known) {
+  for (const auto& [key, value] : from.items()) {
+    const auto same = [&key = key](const char* k) { return key == k; };
+    if (std::none_of(known.begin(), known.end(), same)) fault(path + key, "no such key");
+  }
+}
+
 json worded(const Regime& r) { return {{"name", r.name}, {"zone", r.zone}, {"exclusive", r.exclusive}}; }
 Regime read_regime(const json& from) {
   if (!from.is_object()) fault("regime", "an object is needed");
-  for (const auto& [key, value] : from.items()) {
-    if (key != "name" && key != "zone" && key != "exclusive") fault("regime." + key, "no such key");
-  }
+  only(from, "regime.", {"name", "zone", "exclusive"});
   return {text(from, "name"), text(from, "zone", false), flag(from, "exclusive")};
 }
 
@@ -66,12 +72,8 @@
 }
 Certificate read_certificate(const json& from) {
   if (!from.is_object()) fault("certificate", "an object is needed");
-  static const char* const known[] = {"name",           "host",      "regime", "from_ms", "until_ms",
-                                      "outlives_start", "host_life", "state",  "round"};
-  for (const auto& [key, value] : from.items()) {
-    const auto same = [&key = key](const char* k) { return key == k; };
-    if (std::none_of(std::begin(known), std::end(known), same)) fault("certificate." + key, "no such key");
-  }
+  only(from, "certificate.",
+       {"name", "host", "regime", "from_ms", "until_ms", "outlives_start", "host_life", "state", "round"});
   Certificate out;
   out.name = text(from, "name");
   out.host = text(from, "host");
@@ -108,12 +110,8 @@
 
 Entry read_entry(const json& from) {
   if (!from.is_object()) fault("entry", "an object is needed");
-  static const char* const known[] = {"t",       "id",   "regime", "certificate", "tenant",
-                                      "regimes", "name", "member", "life",        "round"};
-  for (const auto& [key, value] : from.items()) {
-    const auto same = [&key = key](const char* k) { return key == k; };
-    if (std::none_of(std::begin(known), std::end(known), same)) fault(key, "no such key");
-  }
+  only(from, "",
+       {"t", "id", "regime", "certificate", "tenant", "regimes", "name", "member", "life", "round"});
   Entry out;
   const std::string kind = text(from, "t");
   const auto at = std::find(kKinds.begin(), kKinds.end(), kind);
