A connection to a host stands in files of its own: what goes out, what it says

Change: Fleet::Link moves to link.h, link.cpp (what goes out) and link_hears.cpp (what it says, and its end); no other line changes. Alternative: a class with an owner's interface in place of a nested one; left, since the two share every bound.

--- /dev/null
+++ b/src/hosts/link.cpp
@@ -0,0 +1,205 @@
+#include "hosts/link.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "net/fields.h"
+
+namespace lotusyard::hosts {
+namespace {
+
+using core::Outcome;
+
+constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
+constexpr int kSignDoublings = 4;
+constexpr Millis kSignMost{250};    // and ended if none comes: a host answers that beside its queue
+constexpr Millis kPieceMost{200};   // between two pieces of an answer; later, its rest never comes
+constexpr Millis kWholeMost{2000};  // and from its first to its last
+constexpr Millis kCheckPace{50};
+constexpr Millis kUnreadMost{1000};  // what a host told draining has not read by then is not sent any more
+constexpr double kIdleShare =
+    0.8;  // idle links go before the host closes them, or an attempt could cross that
+
+std::string order_line(const std::string& tag, std::uint64_t function, int copies) {
+  return "ensure " + tag + " asset=" + net::hex16(function) + ",count=" + std::to_string(copies);
+}
+std::string fields_of(const core::Call& call) {
+  const std::string fields = "sort=" + call.class_name + ",asset=" + call.function_name;
+  return call.key.empty() ? fields : fields + ",op=" + call.key;
+}
+
+}  // namespace
+
+Fleet::Link::Link(Fleet& fleet, std::string host, net::Socket socket)
+    : Stream(fleet.loop_, fleet.pool_, std::move(socket), true),
+      fleet_(fleet),
+      host_(std::move(host)),
+      parser_(fleet.limits_.longest_answer) {
+  timer_ = fleet_.loop_.at(fleet_.loop_.now() + fleet_.limits_.connect_timeout, [this] { connect_late(); });
+}
+
+Fleet::Link::~Link() {
+  fleet_.loop_.cancel(timer_);
+  fleet_.loop_.cancel(stuck_);
+  fleet_.loop_.cancel(check_);
+}
+
+bool Fleet::Link::takes(const std::string& ref) const {
+  return !ending() && !retired_ && !suspect_ && attempts_.size() < fleet_.limits_.attempts_a_link &&
+         attempts_.count(ref) == 0 && past_.count(ref) == 0;
+}
+
+void Fleet::Link::exec(const core::Attempt& attempt, const core::Call& call, Millis patience) {
+  Sent sent{attempt, fleet_.loop_.now(), 0, false, call.function};
+  if (connecting()) {
+    waiting_.push_back({call.ref, fields_of(call), call.body, sent.at + patience});
+  } else {
+    put(call.ref, fields_of(call), call.body, patience, sent);
+  }
+  attempts_.emplace(call.ref, sent);
+  rest();
+  expect();
+}
+
+bool Fleet::Link::drop(const core::Attempt& attempt) {
+  const auto found = std::find_if(attempts_.begin(), attempts_.end(),
+                                  [&](const auto& entry) { return entry.second.attempt == attempt; });
+  if (found == attempts_.end()) return false;
+  const std::string ref = found->first;
+  const Sent sent = found->second;
+  attempts_.erase(found);
+  if (!sent.put) {
+    waiting_.erase(
+        std::remove_if(waiting_.begin(), waiting_.end(), [&](const auto& w) { return w.ref == ref; }),
+        waiting_.end());
+    return false;
+  }
+  const Millis now = fleet_.loop_.now();
+  past(ref, false);
+  // A host that is cut off says nothing for ever. What comes next tries a new connection: it proves more.
+  if (now - std::max(heard_, sent.at) > kSilent) suspect_ = true;
+  // At once: the next attempt may leave on another connection in this very turn.
+  write("drop " + ref + "\r\n");
+  const bool flushed = flush_now();
+  if (!flushed) end_later();  // the host reads nothing; closing gives the attempt up
+  rest();
+  // What was not handed over whole by now never will be.
+  return outbox().written() >= sent.end;
+}
+
+void Fleet::Link::order(const std::string& tag, std::uint64_t function, int copies) {
+  ask(tag, Asked::Kind::order, function, order_line(tag, function, copies));
+}
+
+void Fleet::Link::probe(const std::string& tag) { ask(tag, Asked::Kind::probe, 0, "load " + tag); }
+void Fleet::Link::say(const std::string& tag, const std::string& line) {
+  if (connecting()) {
+    said_.emplace_back(tag, line);
+  } else {
+    put_line(tag, line);
+  }
+  rest();
+}
+
+void Fleet::Link::retire(bool unsent_too) {
+  retired_ = true;
+  if (unsent_too && connecting()) return end_later();
+  // Danger: bytes that a host does not read could leave long after it was told draining.
+  if (unsent_too && !outbox().empty()) {
+    fleet_.loop_.cancel(stuck_);
+    stuck_ = fleet_.loop_.at(fleet_.loop_.now() + kUnreadMost, [this] {
+      if (!outbox().empty()) end_later();
+    });
+  }
+  rest();
+}
+
+void Fleet::Link::ask(const std::string& tag, Asked::Kind kind, std::uint64_t function,
+                      const std::string& line) {
+  const Millis now = fleet_.loop_.now();
+  asked_[tag] = {kind, function, now, 0, false};
+  say(tag, line + "\r\n");
+  asked_[tag].timer = fleet_.loop_.at(now + fleet_.limits_.order_timeout, [this, tag] { order_late(tag); });
+  expect();
+}
+
+void Fleet::Link::expect() {
+  sent_ = fleet_.loop_.now();
+  if (std::exchange(checking_, true)) return;  // one timer a link
+  check_ = fleet_.loop_.at(sent_ + kCheckPace, [this] { check(); });
+}
+
+// Danger: a link over which nothing comes any more, or never the rest of an answer, holds whatever is out
+// on it to the deadline, though its host serves others well. One sign asked for tells it from a busy host.
+void Fleet::Link::check() {
+  checking_ = false;
+  if (load() == 0 || ending()) return;
+  const Millis now = fleet_.loop_.now();
+  // Danger: a long answer, or one that comes in small pieces, takes long though nothing is wrong.
+  const bool torn = begun_.count() > 0 && (now - heard_ > kPieceMost || now - begun_ > kWholeMost);
+  const bool unsigned_ = sign_asked_ > heard_ && now - sign_asked_ > kSignMost;
+  if (open() && (torn || unsigned_)) {
+    fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
+    return end_later();
+  }
+  const Millis quiet = fleet_.quiet_most() * (1 << std::min(signs_, kSignDoublings));
+  const bool waits = open() && !attempts_.empty() && sign_asked_ <= heard_;
+  if (fleet_.limits_.sign != Sign::none && waits && now - std::max(heard_, sent_) > quiet &&
+      fleet_.take_sign()) {
+    sign_asked_ = now;
+    ++signs_;
+    const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
+    // Danger: a probe that the settings forbid breaks a rule. An order for no copy is allowed, and tells as
+    // much; its function is one that a client has called.
+    const bool order = fleet_.limits_.sign == Sign::order;
+    ask(tag, Asked::Kind::sign, 0,
+        order ? order_line(tag, attempts_.begin()->second.function, 0) : "health " + tag);
+  }
+  if (std::exchange(checking_, true)) return;
+  check_ = fleet_.loop_.at(now + kCheckPace, [this] { check(); });
+}
+
+void Fleet::Link::put(const std::string& ref, const std::string& fields, const std::string& body,
+                      Millis patience, Sent& sent) {
+  const auto whole = std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(patience.count())));
+  std::string message = "exec " + ref + ' ' + fields + ",patience=" + std::to_string(whole) + ' ' +
+                        std::to_string(body.size()) + "\r\n";
+  message += body;
+  message += "\r\n";
+  write(message);
+  sent.put = true;
+  sent.end = outbox().appended();
+}
+
+void Fleet::Link::put_line(const std::string& tag, const std::string& line) {
+  write(line);
+  const auto found = asked_.find(tag);
+  if (found == asked_.end()) return;
+  found->second.put = true;
+  found->second.end = outbox().appended();
+}
+
+void Fleet::Link::connect_late() {
+  fleet_.counters_.add("hosts.connect_timeouts");
+  end_later();
+}
+
+// Idle from now on, until something goes out again.
+void Fleet::Link::rest() {
+  if (connecting()) return;
+  fleet_.loop_.cancel(timer_);
+  if (load() > 0) return;
+  const Millis idle = retired_ || suspect_ ? Millis(0) : fleet_.limits_.idle * kIdleShare;
+  timer_ = fleet_.loop_.at(fleet_.loop_.now() + idle, [this] { end_later(); });
+}
+
+void Fleet::Link::order_late(const std::string& tag) {
+  const auto found = asked_.find(tag);
+  if (found == asked_.end()) return;
+  const Asked asked = found->second;
+  asked_.erase(found);
+  rest();
+  end_asked(asked, Outcome::timeout, 0, std::nullopt);
+}
+
+}  // namespace lotusyard::hosts
--- /dev/null
+++ b/src/hosts/link_hears.cpp
@@ -0,0 +1,153 @@
+// What a connection to a host says, and its end.
+#include <algorithm>
+#include <vector>
+
+#include "hosts/link.h"
+#include "net/fields.h"
+
+namespace lotusyard::hosts {
+namespace {
+
+using core::Outcome;
+using net::field;
+
+constexpr std::size_t kPastMost = 2048;
+
+const std::map<std::string, Outcome>& outcomes() {
+  static const std::map<std::string, Outcome> words = {{"data", Outcome::ok},
+                                                       {"absent", Outcome::miss},
+                                                       {"full", Outcome::full},
+                                                       {"failed", Outcome::error},
+                                                       {"moot", Outcome::moot}};
+  return words;
+}
+bool known_word(const std::string& word) { return outcomes().count(word) != 0; }
+
+}  // namespace
+
+// Danger: a late or second answer would end a further attempt under the same ref: that goes elsewhere.
+void Fleet::Link::past(const std::string& ref, bool answered) {
+  const Millis now = fleet_.loop_.now();
+  while (!past_order_.empty() &&
+         (now - past_order_.front().first > fleet_.limits_.past_kept || past_order_.size() > kPastMost)) {
+    past_.erase(past_order_.front().second);
+    past_order_.pop_front();
+  }
+  if (past_.emplace(ref, answered).second) past_order_.emplace_back(now, ref);
+}
+
+void Fleet::Link::connected() {
+  heard_ = fleet_.loop_.now();
+  fleet_.counters_.add("hosts.links_up");
+  const auto said = std::move(said_);
+  const auto waiting = std::move(waiting_);
+  said_.clear();
+  waiting_.clear();
+  for (const auto& [tag, line] : said) put_line(tag, line);
+  for (const auto& w : waiting) {
+    const Millis left = w.until - heard_;
+    put(w.ref, w.fields, w.body, left, attempts_.at(w.ref));
+  }
+  rest();
+}
+
+void Fleet::Link::end_asked(const Asked& asked, Outcome outcome, int copies, core::Report report) {
+  const Millis elapsed = fleet_.loop_.now() - asked.at;
+  if (asked.kind == Asked::Kind::order) {
+    fleet_.dispatcher_->load_ended({host_, asked.function, outcome, elapsed, copies});
+  } else if (asked.kind == Asked::Kind::probe) {
+    fleet_.dispatcher_->probe_ended({host_, outcome, elapsed, std::move(report)});
+  }
+}
+
+void Fleet::Link::received(std::string_view bytes) {
+  heard_ = fleet_.loop_.now();
+  suspect_ = false;
+  std::vector<Reply> replies;
+  bool sound = parser_.take(bytes, replies);
+  for (auto& reply : replies) {
+    if (ending()) return;
+    if (take(std::move(reply))) continue;
+    sound = false;  // what follows it proves no more than it does
+    break;
+  }
+  if (!parser_.begun()) {
+    begun_ = Millis(0);
+  } else if (begun_.count() == 0 || !replies.empty()) {
+    begun_ = heard_;
+  }
+  fleet_.hold(*this, held_, parser_.held());
+  held_ = parser_.held();
+  if (!sound) {
+    fleet_.counters_.add("hosts.malformed");
+    end_later();
+  }
+  rest();
+}
+
+// False if it is spoilt: whatever is out on the link then ends as what it is, something that may have run.
+bool Fleet::Link::take(Reply&& reply) {
+  const auto fields = net::parse_fields(reply.fields);
+  const bool plain = std::all_of(reply.id.begin(), reply.id.end(),
+                                 [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z'); });
+  const bool sign = reply.word == "well" || reply.word == "ill";
+  if (!fields || !plain || !(known_word(reply.word) || sign)) return false;
+  const net::Fields& read = *fields;
+  if (const auto found = attempts_.find(reply.id); found != attempts_.end()) {
+    if (sign) return false;
+    const core::Attempt attempt = found->second.attempt;
+    fleet_.note_answer(fleet_.loop_.now() - found->second.at);
+    signs_ = 0;
+    attempts_.erase(found);
+    fleet_.attempts_.erase(attempt);
+    past(reply.id, true);
+    const Outcome outcome = outcomes().at(reply.word);
+    fleet_.counters_.add("hosts.answers." + reply.word);
+    const int crowd = static_cast<int>(net::parse_whole(field(read, "crowd"), 1000000).value_or(0));
+    fleet_.dispatcher_->attempt_ended(
+        attempt, {outcome, std::min(crowd, 30), fleet_.read_report(field(read, "l")), std::move(reply.body)});
+  } else if (const auto answered = asked_.find(reply.id); answered != asked_.end()) {
+    const Asked asked = answered->second;
+    fleet_.loop_.cancel(asked.timer);
+    asked_.erase(answered);
+    const Outcome outcome = reply.word == "well"  ? Outcome::ok
+                            : reply.word == "ill" ? Outcome::error
+                                                  : outcomes().at(reply.word);
+    const int copies = static_cast<int>(net::parse_whole(field(read, "count"), 1000).value_or(0));
+    end_asked(asked, outcome, copies, fleet_.read_report(field(read, "l")));
+  } else if (const auto ended = past_.find(reply.id); ended != past_.end() && !ended->second) {
+    ended->second = true;
+    fleet_.counters_.add("hosts.late_answers");  // to an attempt dropped meanwhile
+  } else {
+    // More than belongs to it: what is out here keeps its own answers, nothing new is sent.
+    fleet_.counters_.add("hosts.surplus_answers");
+    retire(false);
+  }
+  return true;
+}
+
+void Fleet::Link::ended() {
+  fleet_.loop_.cancel(timer_);
+  fleet_.loop_.cancel(stuck_);
+  fleet_.loop_.cancel(check_);
+  const auto attempts = std::move(attempts_);
+  const auto asked = std::move(asked_);
+  attempts_.clear();
+  asked_.clear();
+  fleet_.hold(*this, std::exchange(held_, 0), 0);
+  fleet_.link_gone(*this);  // buried: this object lives to the turn's end
+  const auto outcome = [&](bool put, std::uint64_t end) {
+    return put && outbox().written() >= end ? Outcome::reset : Outcome::connect_failed;
+  };
+  for (const auto& [ref, sent] : attempts) fleet_.attempts_.erase(sent.attempt);
+  if (!attempts.empty()) fleet_.hosts_.at(host_).lingers = true;
+  for (const auto& [ref, sent] : attempts) {
+    fleet_.dispatcher_->attempt_ended(sent.attempt, {outcome(sent.put, sent.end), 0, std::nullopt, {}});
+  }
+  for (const auto& [tag, a] : asked) {
+    fleet_.loop_.cancel(a.timer);
+    end_asked(a, outcome(a.put, a.end), 0, std::nullopt);
+  }
+}
+
+}  // namespace lotusyard::hosts
