A process that has to end answers what is open, and takes what has come before it closes

Cause: Invoker::ended returned true 3.6 s after SIGTERM with calls open; calls that came 0.6 s after it with 3 s are out just then. Ruled out: the listener (0 not taken), connections closed as idle (0), crashes (30 nodes ended by themselves). Change: at that time each open call gets its answer (BUSY if it never ran, FAILED if it may have), then the process ends when they are written. Found in review of the same lines: the clock of the turn's end counted, so what came during a long turn was not read; the listener closed with connections in its queue. Both read first now. Alternative: waiting for SIGKILL; calls of longer limits would get no answer.

--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -16,6 +16,7 @@
 constexpr Millis kMostKill{
     3000};  // SIGKILL comes no sooner than the longest deadline, at most this, plus 0.7 s
 constexpr Millis kKillSlack{600};
+constexpr Millis kWriteFor{60};    // for the answers of what was open until then
 constexpr Millis kTakeFor{400};    // calls that come by then end before SIGKILL; a margin for a busy machine
 constexpr Millis kLookPace{200};   // what one process is told by hand holds for the other well within 1 s
 constexpr Millis kTurnMost{20};    // while it ends
@@ -317,8 +318,12 @@
 }
 
 bool Invoker::ended() {
-  const Millis since = loop_.now() - told_to_end_;
-  if (since > std::min(core::longest_deadline(config_->settings), kMostKill) + kKillSlack) return true;
+  // Danger: by the clock, a turn that took long would end what has come meanwhile and was not read.
+  const Millis since = loop_.turn_began() - told_to_end_;
+  const Millis latest = std::min(core::longest_deadline(config_->settings), kMostKill) + kKillSlack;
+  // Danger: calls that come just before their connection stops may still be out: ended with the process they
+  // would be lost.
+  if (since > latest) front_.answer_all();
   bool quiet = front_.open_calls() == 0 && front_.written();
   if (replaces()) {
     // Danger: a connection that always has something open would still have at the end, and lose it.
@@ -328,7 +333,11 @@
     if (since > kListenFor) front_.stop_listening();
     quiet = quiet && since > kComingFor;
   }
-  return quiet && (!triggers_ || triggers_->done()) && (!door_ || door_->quiet());
+  if (since > latest + kWriteFor) return true;
+  if (!quiet || (triggers_ && !triggers_->done()) || (door_ && !door_->quiet())) return false;
+  // What clients have sent by now is read and answered before the end; to be refused is harmless.
+  front_.answer_all();
+  return !front_.read_what_came() && front_.written();
 }
 
 void Invoker::run() {
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -174,17 +174,20 @@
   run(module_.report(clock_(), list));
 }
 
-void Dispatcher::give_up_held(const std::function<bool(CallId)>& which) {
-  std::vector<CallId> held;
+void Dispatcher::give_up(Which kind, const std::function<bool(CallId)>& which) {
+  const auto meant = [&](const Open& open) {
+    return kind == Which::all || (open.out.empty() && !open.may_have_run);
+  };
+  std::vector<CallId> named;
   for (const auto& [id, open] : calls_) {
-    if (open.out.empty() && !open.may_have_run && which(id)) held.push_back(id);
+    if (meant(open) && which(id)) named.push_back(id);
   }
-  std::sort(held.begin(), held.end());  // the order of a hash table tells nothing
-  for (const CallId id : held) {
+  std::sort(named.begin(), named.end());  // the order of a hash table tells nothing
+  for (const CallId id : named) {
     const Open* open = find(id);
-    if (open == nullptr || !open->out.empty()) continue;
-    run(module_.report(clock_(), CallLeft{id}));
-    finish(id, {Verdict::refused, Millis(0), {}});
+    if (open == nullptr || !meant(*open)) continue;  // by what became of the others
+    run(module_.report(clock_(), CallLeft{id}));     // it must not try again what gets its answer now
+    carry_out(RefuseStep{id, Millis(0)});
   }
 }
 
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -34,8 +34,9 @@
   void members(HostList&& list);
   void retune(const Settings& settings);  // open calls keep the rules under which they were taken
 
-  // Refuses at once what is held and never went out, of those that `which` names.
-  void give_up_held(const std::function<bool(CallId)>& which);
+  // Answers at once those that `which` names: what never ran is refused, what may have run is failed.
+  enum class Which { held, all };  // held: only those that never went out
+  void give_up(Which kind, const std::function<bool(CallId)>& which);
 
   // Told of each attempt's end, before the call's, where set.
   using Witness = std::function<void(const std::string& host, const Call& call, Outcome outcome)>;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,6 +4,7 @@
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -84,6 +85,12 @@
   return socket;
 }
 
+Peer look_at(const Socket& socket) {
+  pollfd asked{socket.fd(), POLLIN | POLLRDHUP, 0};
+  if (::poll(&asked, 1, 0) <= 0) return Peer::quiet;
+  return (asked.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0 ? Peer::gone : Peer::spoke;
+}
+
 int pending_error(const Socket& socket) {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -34,6 +34,10 @@
 Socket connect_to(const std::string& address);  // under way: writable once it is decided
 // `exhausted` tells that no descriptor was to be had: the connection waits on.
 Socket accept_from(const Socket& listener, bool* exhausted = nullptr);
+// What a connection's peer has done that was not read yet, right now. Whoever sends no more, has closed or
+// was reset is `gone`: one that only half-closes cannot be told from one that has closed.
+enum class Peer { quiet, spoke, gone };
+Peer look_at(const Socket& socket);
 int pending_error(const Socket& socket);  // of a connect that was decided
 std::string bound_address(const Socket& listener);
 bool valid_address(const std::string& address);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -26,6 +26,7 @@
   bool connecting() const { return static_cast<bool>(socket_) && connecting_; }
   bool ending() const { return ending_ || finishing_ || !socket_; }  // nothing written now would go out
   const Outbox& outbox() const { return outbox_; }
+  Peer peer() const { return socket_ ? look_at(socket_) : Peer::gone; }  // asks the kernel
 
   void ready(short events) final;
   void flush() final;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -90,22 +90,44 @@
              Limits limits)
     : loop_(loop), pool_(pool), dispatcher_(dispatcher), counters_(counters), limits_(limits) {}
 
-Front::~Front() { stop_listening(); }
+Front::~Front() { close_listener(); }
 
 bool Front::listen(const std::string& address) {
   listen(net::listen_on(address));
+  inherited_ = false;
   return listening();
 }
 
 void Front::listen(net::Socket listener) {
   listener_ = std::move(listener);
+  inherited_ = true;
   if (listener_) loop_.watch(listener_.fd(), *this, POLLIN);
 }
 
 void Front::take_no_more() {
-  if (!std::exchange(takes_, false)) return;
   // Danger: calls that are held for long keep their connection from its end; what comes meanwhile is refused.
-  dispatcher_.give_up_held([this](core::CallId id) { return by_call_.count(id) != 0; });
+  if (std::exchange(takes_, false)) give_up(core::Dispatcher::Which::held);
+}
+
+void Front::answer_all() {
+  takes_ = false;
+  give_up(core::Dispatcher::Which::all);
+}
+
+void Front::give_up(core::Dispatcher::Which which) {
+  dispatcher_.give_up(which, [this](core::CallId id) { return by_call_.count(id) != 0; });
+}
+
+bool Front::read_what_came() {
+  bool came = false;
+  for (const auto* list : {&clients_, &silent_, &begun_}) {
+    for (const auto& client : std::vector<std::shared_ptr<Client>>(list->begin(), list->end())) {
+      if (client->ending() || client->peer() == net::Peer::quiet) continue;
+      came = true;
+      client->ready(POLLIN);
+    }
+  }
+  return came;
 }
 
 bool Front::hand_over() {
@@ -119,6 +141,14 @@
 }
 
 void Front::stop_listening() {
+  if (!listener_) return;
+  // Danger: whoever has connected and not been accepted, and what they have sent, would be reset by the
+  // close.
+  while (!inherited_ && accept_some()) {}
+  close_listener();
+}
+
+void Front::close_listener() {
   if (!listener_) return;
   loop_.forget(listener_.fd(), *this);
   listener_.close();
@@ -173,20 +203,25 @@
   if (!oldest->asked && !oldest->ending()) shed(oldest, "resp.silent_closed");
 }
 
-void Front::ready(short) {
+void Front::ready(short) { accept_some(); }
+
+// False if nobody waits any more.
+bool Front::accept_some() {
   for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
     bool exhausted = false;
     net::Socket socket = net::accept_from(listener_, &exhausted);
     if (exhausted) {
       counters_.add("resp.no_descriptor");
-      return pause_listening();
+      pause_listening();
+      return false;
     }
-    if (!socket) return;
+    if (!socket) return false;
     counters_.add("resp.connections");
     silent_.push_back(std::make_shared<Client>(*this, std::move(socket)));
     silent_.back()->place = std::prev(silent_.end());
     bound_newcomers();
   }
+  return true;
 }
 
 // Danger: a listener that stays readable would spin the loop. It is looked at again once a client has gone.
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -20,7 +20,7 @@
   struct Limits {
     std::size_t clients = 256, newcomers = 64;  // connections that have asked something, and not yet
     std::size_t calls_a_client = 32;
-    std::size_t body_bytes = 48U << 20;  // of all open calls
+    std::size_t body_bytes = 48U << 20;   // of all open calls
     std::size_t unread_bytes = 8U << 20;  // answers that one client has not read
   };
   Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
@@ -32,12 +32,16 @@
   bool listening() const { return static_cast<bool>(listener_); }
   std::string address() const { return net::bound_address(listener_); }
   void drain() { draining_ = true; }  // CHECK says DOWN from now on; calls are still taken
-  void stop_listening();
+  void stop_listening();              // whoever has connected by now is taken first
   // Another process takes clients now: none are accepted here, and each connection ends once nothing is open
   // on it. To be called again in each turn; true once all have ended.
   bool hand_over();
   // New calls are refused, and those that only wait, so that what is open on a busy connection ends.
   void take_no_more();
+  // All calls get their answers now, and new ones are refused: the process is about to end.
+  void answer_all();
+  // True if clients have sent something that has not been read; it is read now.
+  bool read_what_came();
   void bound(const Limits& limits) { limits_ = limits; }
   std::size_t open_calls() const { return by_call_.size(); }
   bool written() const;  // nothing waits to be written
@@ -61,9 +65,12 @@
   Clients clients_, silent_, begun_;  // those that asked, or sent nothing, or a part; longest unheard first
   std::unordered_map<core::CallId, Filed> by_call_;
   std::size_t bodies_ = 0;
-  bool draining_ = false, paused_ = false, takes_ = true;
+  bool draining_ = false, paused_ = false, takes_ = true, inherited_ = false;
 
   void ready(short events) override;
+  bool accept_some();
+  void give_up(core::Dispatcher::Which which);
+  void close_listener();
   bool promote(Client& client);
   Clients& list_of(const Client& client);
   void heard(Client& client);
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -230,7 +230,7 @@
   for (const auto& [attempt, o] : b.desk.attempts) out.insert(attempt.call);
   REQUIRE((!out.empty() && out.size() < ids.size() - 1));
   const auto spared = *std::find_if(ids.begin(), ids.end(), [&](auto id) { return out.count(id) == 0; });
-  b.dispatcher.give_up_held([&](core::CallId id) { return id != spared; });
+  b.dispatcher.give_up(core::Dispatcher::Which::held, [&](core::CallId id) { return id != spared; });
   for (const auto id : ids) {
     const bool goes_on = out.count(id) != 0 || id == spared;
     REQUIRE(b.desk.answers.count(id) == (goes_on ? 0 : 1));
