One last look, right before bytes go to a host, decides whether an attempt or order may begin

Seen in review, each then shown by a test on real connections: what was decided stood in the connection's outbox from then on, and nothing asked again. A call went out though its client had gone (FIN or reset, also behind pipelined requests of which a turn reads 128 KiB), cancelled, or left in the turn in which the connection came up; a host told draining or gone later in the turn got it all the same; a connection that its host had closed took it, and it counted as one that may have run. At fault: Link::exec, connected, put_line (src/hosts), Stream::flush. Change: attempts and orders stand back until the connection is about to write (Stream::before_flush); Link::look_at there asks the host's state, the deadline and the front whether the caller is there, by one poll(2) of its socket. Unread bytes of the caller are read first, once. What is withdrawn provably never ran. A write that finds a connection broken reads the answers that came before it. Of the same kind, in resp/front: a client was closed for another one with its request unread; no place was told by a bare close; garbage, half a request or a repeated tag ended the connection with the sound calls on it. These get their answers. Alternatives: a check at each decision (many places, and the moment after it stays open); reading clients within the write (decisions would change under it). Ruled out: asking by MSG_PEEK, which does not see a close behind unread bytes.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -160,6 +160,24 @@
   run(module_.report(now, told));
 }
 
+const Call* Dispatcher::call_of(CallId id) const {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? nullptr : &found->second.call;
+}
+
+Dispatcher::Begin Dispatcher::may_begin(const Attempt& attempt) {
+  Open* open = find(attempt.call);
+  if (open == nullptr) return Begin::now;  // whoever sent it without a call answers for it
+  if (clock_() >= open->call.arrived + open->call.allow) return Begin::over;
+  switch (open->front->caller(attempt.call)) {
+    case Front::Caller::waits: return Begin::now;
+    case Front::Caller::spoke: return Begin::once_read;
+    case Front::Caller::gone: break;
+  }
+  counters_.add("attempts.caller_gone");
+  return Begin::over;
+}
+
 void Dispatcher::load_ended(LoadOutcome&& end) { run(module_.report(clock_(), end)); }
 void Dispatcher::probe_ended(ProbeOutcome&& end) { run(module_.report(clock_(), end)); }
 void Dispatcher::members(HostList&& list) {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -28,6 +28,12 @@
   bool take(CallId id, Call&& call, Front& front);
   void leave(CallId id);  // the client is gone: no answer is owed
 
+  // The caller's side of the last look, right before an attempt's first byte goes to the kernel.
+  // once_read: when what the caller has sent was read. over: whoever ends the call takes the attempt back.
+  enum class Begin { now, once_read, over };
+  Begin may_begin(const Attempt& attempt);
+  const Call* call_of(CallId id) const;
+
   void attempt_ended(const Attempt& attempt, AttemptEnd&& end);
   void load_ended(LoadOutcome&& end);
   void probe_ended(ProbeOutcome&& end);
--- a/src/core/keys.h
+++ b/src/core/keys.h
@@ -21,16 +21,16 @@
 
 struct KeyRule {  // of a class, as the settings give it
   robinfold::KeyScope scope = robinfold::KeyScope::all;
-  Millis window{0};    // from the send of the first attempt that may have run; 0: nothing drops repeats
+  Millis window{0};      // from the send of the first attempt that may have run; 0: nothing drops repeats
   Millis hard_limit{0};  // a client's longest wait over all of its tries
 };
 
 class Keys {
  public:
-  static constexpr std::size_t most = 8192;        // remembered at once; more are not taken
-  static constexpr std::size_t longest = 128;      // bytes of a key
-  static constexpr std::size_t most_sends = 16;    // under one key that may have run; no more go out
-  static bool sound(const std::string& key);       // can stand in a host's line, unchanged
+  static constexpr std::size_t most = 8192;      // remembered at once; more are not taken
+  static constexpr std::size_t longest = 128;    // bytes of a key
+  static constexpr std::size_t most_sends = 16;  // under one key that may have run; no more go out
+  static bool sound(const std::string& key);     // can stand in a host's line, unchanged
 
   enum class Word { taken, other_request, window_over, full };
   // A call comes. It is joined to no other: each has an attempt of its own, and hosts drop what repeats.
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -42,8 +42,8 @@
   std::string function_name;   // as the client wrote it
   std::uint64_t function = 0;  // the same as a number, for the module
   std::optional<double> effort;
-  bool retry = false;  // a client's further try
-  std::string key;     // the client's idempotency key; passed on unchanged
+  bool retry = false;               // a client's further try
+  std::string key;                  // the client's idempotency key; passed on unchanged
   std::optional<Millis> ran_since;  // something under the key may have run elsewhere, no sooner than this
   double memory_mb = 0;
   int lanes = 1;
@@ -81,6 +81,10 @@
   virtual void answer(CallId call, Answer&& answer) = 0;
   // Before an attempt goes out. False: it must not; the call then ends as one that this attempt did not run.
   virtual bool before_attempt(CallId) { return true; }
+  // Who called, right now: still waits, has sent something that was not read yet (it may be that they
+  // cancel), or has gone.
+  enum class Caller { waits, spoke, gone };
+  virtual Caller caller(CallId) { return Caller::waits; }
   // The last attempt is shown not to have run, and none before it may have.
   virtual void never_ran(CallId) {}
 };
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -93,10 +93,15 @@
   most->end_later();
 }
 
-Fleet::Host* Fleet::ready_host(const std::string& id, const core::Call* call, std::uint64_t function) {
+// The host's side of the last look: it may have this now, whatever was decided before.
+bool Fleet::allows(const std::string& id, const core::Call* call, std::uint64_t function) const {
   const auto found = hosts_.find(id);
   const bool ready = found != hosts_.end() && found->second.member.entry.state == WorkerState::ready;
-  if (ready && (!may_send_ || may_send_(id, call, function))) return &found->second;
+  return ready && (!may_send_ || may_send_(id, call, function));
+}
+
+Fleet::Host* Fleet::ready_host(const std::string& id, const core::Call* call, std::uint64_t function) {
+  if (allows(id, call, function)) return &hosts_.at(id);
   counters_.add("guard.host_not_ready");
   return nullptr;
 }
@@ -129,6 +134,7 @@
   const auto found = hosts_.find(id);
   if (found == hosts_.end()) return;
   for (const auto& link : std::vector<std::shared_ptr<Link>>(found->second.links)) {
+    link->withdraw();
     if (!link->connecting() && link->outbox().empty()) continue;
     counters_.add("hosts.cut_links");
     link->end_later();
@@ -144,15 +150,28 @@
 
 void Fleet::later(std::function<void()> tell) { loop_.at(loop_.now(), std::move(tell)); }
 
+void Fleet::never_went(const core::Attempt& attempt) {
+  attempts_.erase(attempt);
+  later([this, attempt] {
+    dispatcher_->attempt_ended(attempt, {Outcome::connect_failed, 0, std::nullopt, {}});
+  });
+}
+
+void Fleet::no_probe(const std::string& id) {
+  later([this, id] { dispatcher_->probe_ended({id, Outcome::connect_failed, Millis(0), std::nullopt}); });
+}
+
+void Fleet::no_order(const std::string& id, std::uint64_t function) {
+  later([this, id, function] {
+    dispatcher_->load_ended({id, function, Outcome::connect_failed, Millis(0), 0});
+  });
+}
+
 void Fleet::exec(const core::Attempt& attempt, const std::string& id, const core::Call& call,
                  Millis patience) {
   Host* host = ready_host(id, &call, call.function);
   Link* link = host == nullptr ? nullptr : link_for(*host, call.ref);
-  if (link == nullptr) {
-    return later([this, attempt] {
-      dispatcher_->attempt_ended(attempt, {Outcome::connect_failed, 0, std::nullopt, {}});
-    });
-  }
+  if (link == nullptr) return never_went(attempt);
   attempts_[attempt] = link;
   const Millis now = loop_.now();
   if (host->until <= now) host->lingers = false;
@@ -174,22 +193,20 @@
   Host* host = ready_host(id, nullptr, 0);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
   if (link != nullptr) return link->probe("p" + std::to_string(++last_tag_));
-  later([this, id] { dispatcher_->probe_ended({id, Outcome::connect_failed, Millis(0), std::nullopt}); });
+  no_probe(id);
 }
 
 void Fleet::ensure(const std::string& id, std::uint64_t function, int copies) {
   Host* host = ready_host(id, nullptr, copies > 0 ? function : 0);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
   if (link != nullptr) return link->order("t" + std::to_string(++last_tag_), function, copies);
-  later([this, id, function] {
-    dispatcher_->load_ended({id, function, Outcome::connect_failed, Millis(0), 0});
-  });
+  no_order(id, function);
 }
 
 void Fleet::release(const std::string& id, std::uint64_t function) {
   Host* host = ready_host(id, nullptr, 0);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
-  if (link != nullptr) link->say({}, "release " + net::hex16(function) + "\r\n");
+  if (link != nullptr) link->say("release " + net::hex16(function));
 }
 
 core::Report Fleet::read_report(const std::string& text) const {
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -79,9 +79,14 @@
   Millis usual_answer_{0};  // moving average over all hosts
   double signs_left_ = 0;   // a token bucket, filled by what is sent
 
+  bool allows(const std::string& id, const core::Call* call, std::uint64_t function) const;
   Host* ready_host(const std::string& id, const core::Call* call, std::uint64_t function);
   Link* link_for(Host& host, const std::string& ref);
   void later(std::function<void()> tell);
+  // Told in the next turn: none of these went out.
+  void never_went(const core::Attempt& attempt);
+  void no_probe(const std::string& id);
+  void no_order(const std::string& id, std::uint64_t function);
   core::Report read_report(const std::string& text) const;
   void link_gone(Link& link);
   void hold(Link& link, std::size_t before, std::size_t now);
--- a/src/hosts/link.cpp
+++ b/src/hosts/link.cpp
@@ -16,6 +16,8 @@
 constexpr Millis kPieceMost{200};   // between two pieces of an answer; later, its rest never comes
 constexpr Millis kWholeMost{2000};  // and from its first to its last
 constexpr Millis kCheckPace{50};
+constexpr Millis kLookPace{1};
+constexpr Millis kLeastPatience{1};  // as hosts are told it, in whole milliseconds
 constexpr Millis kUnreadMost{1000};  // what a host told draining has not read by then is not sent any more
 constexpr double kIdleShare =
     0.8;  // idle links go before the host closes them, or an attempt could cross that
@@ -42,6 +44,7 @@
   fleet_.loop_.cancel(timer_);
   fleet_.loop_.cancel(stuck_);
   fleet_.loop_.cancel(check_);
+  fleet_.loop_.cancel(again_);
 }
 
 bool Fleet::Link::takes(const std::string& ref) const {
@@ -50,13 +53,10 @@
 }
 
 void Fleet::Link::exec(const core::Attempt& attempt, const core::Call& call, Millis patience) {
-  Sent sent{attempt, fleet_.loop_.now(), 0, false, call.function};
-  if (connecting()) {
-    waiting_.push_back({call.ref, fields_of(call), call.body, sent.at + patience});
-  } else {
-    put(call.ref, fields_of(call), call.body, patience, sent);
-  }
-  attempts_.emplace(call.ref, sent);
+  const Millis now = fleet_.loop_.now();
+  attempts_.emplace(call.ref, Sent{attempt, now, 0, false, call.function});
+  stand_back(
+      {Pending::Kind::exec, call.ref, fields_of(call), call.body, now + patience, call.function, false});
   rest();
   expect();
 }
@@ -69,9 +69,9 @@
   const Sent sent = found->second;
   attempts_.erase(found);
   if (!sent.put) {
-    waiting_.erase(
-        std::remove_if(waiting_.begin(), waiting_.end(), [&](const auto& w) { return w.ref == ref; }),
-        waiting_.end());
+    const auto same = [&](const Pending& p) { return p.kind == Pending::Kind::exec && p.name == ref; };
+    pending_.erase(std::remove_if(pending_.begin(), pending_.end(), same), pending_.end());
+    rest();
     return false;
   }
   const Millis now = fleet_.loop_.now();
@@ -88,22 +88,27 @@
 }
 
 void Fleet::Link::order(const std::string& tag, std::uint64_t function, int copies) {
-  ask(tag, Asked::Kind::order, function, order_line(tag, function, copies));
+  ask(tag, Asked::Kind::order, function, order_line(tag, function, copies), Pending::Kind::order);
 }
 
-void Fleet::Link::probe(const std::string& tag) { ask(tag, Asked::Kind::probe, 0, "load " + tag); }
-void Fleet::Link::say(const std::string& tag, const std::string& line) {
-  if (connecting()) {
-    said_.emplace_back(tag, line);
-  } else {
-    put_line(tag, line);
-  }
+void Fleet::Link::probe(const std::string& tag) {
+  ask(tag, Asked::Kind::probe, 0, "load " + tag, Pending::Kind::word);
+}
+
+void Fleet::Link::say(const std::string& line) {
+  stand_back({Pending::Kind::word, {}, line + "\r\n", {}, Millis(0), 0, false});
   rest();
 }
 
+void Fleet::Link::stand_back(Pending&& pending) {
+  pending_.push_back(std::move(pending));
+  if (!connecting()) fleet_.loop_.flush_later(*this);
+}
+
 void Fleet::Link::retire(bool unsent_too) {
   retired_ = true;
   if (unsent_too && connecting()) return end_later();
+  if (unsent_too) withdraw();
   // Danger: bytes that a host does not read could leave long after it was told draining.
   if (unsent_too && !outbox().empty()) {
     fleet_.loop_.cancel(stuck_);
@@ -115,14 +120,73 @@
 }
 
 void Fleet::Link::ask(const std::string& tag, Asked::Kind kind, std::uint64_t function,
-                      const std::string& line) {
+                      const std::string& line, Pending::Kind what) {
   const Millis now = fleet_.loop_.now();
   asked_[tag] = {kind, function, now, 0, false};
-  say(tag, line + "\r\n");
   asked_[tag].timer = fleet_.loop_.at(now + fleet_.limits_.order_timeout, [this, tag] { order_late(tag); });
+  stand_back({what, tag, line + "\r\n", {}, Millis(0), function, false});
+  rest();
   expect();
 }
 
+// Wait: till the next turn, in which it is taken back if its call is over.
+Fleet::Link::Look Fleet::Link::look_at(Pending& pending) {
+  if (pending.kind == Pending::Kind::word) return Look::put;
+  const bool exec = pending.kind == Pending::Kind::exec;
+  const core::Attempt attempt = exec ? attempts_.at(pending.name).attempt : core::Attempt{};
+  const core::Call* call = exec ? fleet_.dispatcher_->call_of(attempt.call) : nullptr;
+  if (!fleet_.allows(host_, call, pending.function)) return Look::never;
+  if (!exec) return Look::put;
+  if (pending.until - fleet_.loop_.now() < kLeastPatience) return Look::wait;
+  switch (fleet_.dispatcher_->may_begin(attempt)) {
+    case core::Dispatcher::Begin::now: return Look::put;
+    case core::Dispatcher::Begin::over: return Look::wait;
+    case core::Dispatcher::Begin::once_read: break;
+  }
+  return std::exchange(pending.looked, true) ? Look::put : Look::wait;
+}
+
+// The one place from which calls and orders go out.
+void Fleet::Link::before_flush() {
+  // A host that has closed is read first: what stands here goes elsewhere, and provably never ran here.
+  if (pending_.empty() || peer() == net::Peer::gone) return;
+  auto decided = std::move(pending_);
+  pending_.clear();
+  for (auto& one : decided) {
+    const Look look = look_at(one);
+    if (look == Look::put) put(one);
+    if (look == Look::never) never_goes(one);
+    if (look == Look::wait) pending_.push_back(std::move(one));
+  }
+  if (pending_.empty()) return;
+  fleet_.loop_.cancel(again_);
+  again_ = fleet_.loop_.at(fleet_.loop_.now() + kLookPace, [this] { fleet_.loop_.flush_later(*this); });
+}
+
+void Fleet::Link::withdraw() {
+  const auto decided = std::move(pending_);
+  pending_.clear();
+  for (const auto& one : decided) never_goes(one);
+}
+
+void Fleet::Link::never_goes(const Pending& pending) {
+  fleet_.counters_.add("hosts.withdrawn");
+  if (pending.kind == Pending::Kind::exec) {
+    const auto found = attempts_.find(pending.name);
+    const core::Attempt attempt = found->second.attempt;
+    attempts_.erase(found);
+    fleet_.never_went(attempt);
+  } else if (const auto found = asked_.find(pending.name); found != asked_.end()) {
+    const Asked asked = found->second;
+    fleet_.loop_.cancel(asked.timer);
+    asked_.erase(found);
+    if (asked.kind == Asked::Kind::order) fleet_.no_order(host_, asked.function);
+    if (asked.kind == Asked::Kind::probe) fleet_.no_probe(host_);
+    if (asked.kind == Asked::Kind::sign) sign_asked_ = Millis(0);
+  }
+  rest();
+}
+
 void Fleet::Link::expect() {
   sent_ = fleet_.loop_.now();
   if (std::exchange(checking_, true)) return;  // one timer a link
@@ -152,33 +216,35 @@
     // Danger: a probe that the settings forbid breaks a rule. An order for no copy is allowed, and tells as
     // much; its function is one that a client has called.
     const bool order = fleet_.limits_.sign == Sign::order;
-    ask(tag, Asked::Kind::sign, 0,
-        order ? order_line(tag, attempts_.begin()->second.function, 0) : "health " + tag);
+    const std::uint64_t function = attempts_.begin()->second.function;
+    ask(tag, Asked::Kind::sign, function, order ? order_line(tag, function, 0) : "health " + tag,
+        order ? Pending::Kind::order : Pending::Kind::word);
   }
   if (std::exchange(checking_, true)) return;
   check_ = fleet_.loop_.at(now + kCheckPace, [this] { check(); });
 }
 
-void Fleet::Link::put(const std::string& ref, const std::string& fields, const std::string& body,
-                      Millis patience, Sent& sent) {
-  const auto whole = std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(patience.count())));
-  std::string message = "exec " + ref + ' ' + fields + ",patience=" + std::to_string(whole) + ' ' +
-                        std::to_string(body.size()) + "\r\n";
-  message += body;
+void Fleet::Link::put(const Pending& pending) {
+  if (pending.kind != Pending::Kind::exec) {
+    write(pending.text);
+    const auto found = asked_.find(pending.name);
+    if (found == asked_.end()) return;
+    found->second.put = true;
+    found->second.end = outbox().appended();
+    return;
+  }
+  const auto patience = static_cast<std::int64_t>(std::floor((pending.until - fleet_.loop_.now()).count()));
+  std::string message = "exec " + pending.name + ' ' + pending.text +
+                        ",patience=" + std::to_string(std::max<std::int64_t>(1, patience)) + ' ' +
+                        std::to_string(pending.body.size()) + "\r\n";
+  message += pending.body;
   message += "\r\n";
   write(message);
+  Sent& sent = attempts_.at(pending.name);
   sent.put = true;
   sent.end = outbox().appended();
 }
 
-void Fleet::Link::put_line(const std::string& tag, const std::string& line) {
-  write(line);
-  const auto found = asked_.find(tag);
-  if (found == asked_.end()) return;
-  found->second.put = true;
-  found->second.end = outbox().appended();
-}
-
 void Fleet::Link::connect_late() {
   fleet_.counters_.add("hosts.connect_timeouts");
   end_later();
--- a/src/hosts/link.h
+++ b/src/hosts/link.h
@@ -12,7 +12,8 @@
 
 namespace lotusyard::hosts {
 
-// Until it is up its messages stand in `waiting_`, where a drop can still take them back.
+// What is decided stands in `pending_`, where it can still be taken back, until the very moment in which its
+// bytes go to the kernel. Then, and there alone, it is asked whether it may begin.
 class Fleet::Link final : public net::Stream {
  public:
   Link(Fleet& fleet, std::string host, net::Socket socket);
@@ -26,7 +27,8 @@
   bool drop(const core::Attempt& attempt);
   void order(const std::string& tag, std::uint64_t function, int copies);
   void probe(const std::string& tag);
-  void say(const std::string& tag, const std::string& line);
+  void say(const std::string& line);
+  void withdraw();  // nothing that is still pending goes out
   // The host is told draining or gone, or started anew: nothing new goes here; what has not gone out never
   // will.
   void retire(bool unsent_too);
@@ -39,9 +41,14 @@
     bool put = false;       // its bytes stand in the outbox or went out
     std::uint64_t function = 0;
   };
-  struct Waiting {
-    std::string ref, fields, body;  // fields: without its patience, which counts from when it goes out
+  struct Pending {
+    enum class Kind { exec, order, word };  // word: what loads nothing and is no call
+    Kind kind = Kind::word;
+    std::string name;        // ref or tag; empty: nothing is answered
+    std::string text, body;  // of an exec: its fields, without patience, which counts from when it goes out
     Millis until{0};
+    std::uint64_t function = 0;
+    bool looked = false;  // its caller had sent something, which has been read since
   };
   struct Asked {
     enum class Kind { order, probe, sign };  // sign: whether anything comes over this link at all
@@ -57,28 +64,32 @@
   LineParser parser_;
   std::map<std::string, Sent> attempts_;  // by ref
   std::map<std::string, Asked> asked_;    // by tag
-  std::deque<Waiting> waiting_;
-  std::deque<std::pair<std::string, std::string>> said_;
+  std::deque<Pending> pending_;
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
   Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0};
   std::size_t held_ = 0;
   int signs_ = 0;  // asked for since the last answer of an attempt
   bool retired_ = false, suspect_ = false, checking_ = false;
-  net::Loop::TimerId timer_{}, stuck_{}, check_{};
+  net::Loop::TimerId timer_{}, stuck_{}, check_{}, again_{};
 
   void past(const std::string& ref, bool answered);
-  void ask(const std::string& tag, Asked::Kind kind, std::uint64_t function, const std::string& line);
+  void ask(const std::string& tag, Asked::Kind kind, std::uint64_t function, const std::string& line,
+           Pending::Kind what);
+  void stand_back(Pending&& pending);
+  enum class Look { put, wait, never };
+  Look look_at(Pending& pending);
+  void put(const Pending& pending);
+  void never_goes(const Pending& pending);
   void expect();
   void check();
-  void put(const std::string& ref, const std::string& fields, const std::string& body, Millis patience,
-           Sent& sent);
-  void put_line(const std::string& tag, const std::string& line);
   void connect_late();
   void rest();
   void order_late(const std::string& tag);
   void end_asked(const Asked& asked, core::Outcome outcome, int copies, core::Report report);
   bool take(Reply&& reply);
+  void before_flush() override;
+  bool reads_rest() const override { return true; }
   void connected() override;
   void received(std::string_view bytes) override;
   void ended() override;
--- a/src/hosts/link_hears.cpp
+++ b/src/hosts/link_hears.cpp
@@ -39,15 +39,7 @@
 void Fleet::Link::connected() {
   heard_ = fleet_.loop_.now();
   fleet_.counters_.add("hosts.links_up");
-  const auto said = std::move(said_);
-  const auto waiting = std::move(waiting_);
-  said_.clear();
-  waiting_.clear();
-  for (const auto& [tag, line] : said) put_line(tag, line);
-  for (const auto& w : waiting) {
-    const Millis left = w.until - heard_;
-    put(w.ref, w.fields, w.body, left, attempts_.at(w.ref));
-  }
+  fleet_.loop_.flush_later(*this);
   rest();
 }
 
@@ -66,9 +58,8 @@
   std::vector<Reply> replies;
   bool sound = parser_.take(bytes, replies);
   for (auto& reply : replies) {
-    if (ending()) return;
-    if (take(std::move(reply))) continue;
-    sound = false;  // what follows it proves no more than it does
+    if (take(std::move(reply))) continue;  // also when the connection ends meanwhile: it came whole
+    sound = false;                         // what follows it proves no more than it does
     break;
   }
   if (!parser_.begun()) {
@@ -93,7 +84,7 @@
   const bool sign = reply.word == "well" || reply.word == "ill";
   if (!fields || !plain || !(known_word(reply.word) || sign)) return false;
   const net::Fields& read = *fields;
-  if (const auto found = attempts_.find(reply.id); found != attempts_.end()) {
+  if (const auto found = attempts_.find(reply.id); found != attempts_.end() && found->second.put) {
     if (sign) return false;
     const core::Attempt attempt = found->second.attempt;
     fleet_.note_answer(fleet_.loop_.now() - found->second.at);
@@ -106,7 +97,7 @@
     const int crowd = static_cast<int>(net::parse_whole(field(read, "crowd"), 1000000).value_or(0));
     fleet_.dispatcher_->attempt_ended(
         attempt, {outcome, std::min(crowd, 30), fleet_.read_report(field(read, "l")), std::move(reply.body)});
-  } else if (const auto answered = asked_.find(reply.id); answered != asked_.end()) {
+  } else if (const auto answered = asked_.find(reply.id); answered != asked_.end() && answered->second.put) {
     const Asked asked = answered->second;
     fleet_.loop_.cancel(asked.timer);
     asked_.erase(answered);
@@ -130,6 +121,8 @@
   fleet_.loop_.cancel(timer_);
   fleet_.loop_.cancel(stuck_);
   fleet_.loop_.cancel(check_);
+  fleet_.loop_.cancel(again_);
+  pending_.clear();
   const auto attempts = std::move(attempts_);
   const auto asked = std::move(asked_);
   attempts_.clear();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -39,6 +39,7 @@
   if (!socket_ || connecting_ || ending_) return false;
   const auto written = outbox_.write_to(socket_.fd());
   if (written == Outbox::Written::broken) {
+    broken_ = true;
     end_later();
     return false;
   }
@@ -48,7 +49,10 @@
 }
 
 void Stream::flush() {
+  if (!ending_ && !connecting_ && !outbox_.empty()) flush_now();
+  if (!ending_ && open() && outbox_.empty()) before_flush();
   if (!ending_) flush_now();
+  if (ending_ && broken_ && reads_rest()) read_rest();
   if (ending_) end();
 }
 
@@ -105,4 +109,15 @@
   }
 }
 
+// Danger: a peer that answered and then died is found dead by a write; its answers would go with the socket.
+void Stream::read_rest() {
+  auto& block = loop_.read_buffer();
+  for (int i = 0; i < kReadsATurn && socket_; ++i) {
+    const ssize_t got = ::recv(socket_.fd(), block.data(), block.size(), 0);
+    if (got < 0 && errno == EINTR) continue;
+    if (got <= 0) return;
+    received(std::string_view(block.data(), static_cast<std::size_t>(got)));
+  }
+}
+
 }  // namespace lotusyard::net
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -33,6 +33,11 @@
 
  protected:
   virtual void connected() {}
+  // The last point before bytes go to the kernel: nothing waits before what is written now. What stands back
+  // until then can still be taken back.
+  virtual void before_flush() {}
+  // What a peer sent before it broke the connection is read when a write finds that out, where this says so.
+  virtual bool reads_rest() const { return false; }
   virtual void received(std::string_view bytes) = 0;
   virtual void ended() = 0;  // once; the socket is closed, nothing more comes
   void end();
@@ -43,12 +48,13 @@
   Socket socket_;
   Outbox outbox_;
   Loop::Rank rank_;
-  bool connecting_ = false, ending_ = false, finishing_ = false, told_ = false;
+  bool connecting_ = false, ending_ = false, finishing_ = false, told_ = false, broken_ = false;
   Loop::TimerId linger_{};
 
   void watch();
   void tell_finished();
   void read();
+  void read_rest();
 };
 
 }  // namespace lotusyard::net
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -30,6 +30,7 @@
   std::unordered_map<std::string, core::CallId> open_calls;
   Clients::iterator place;
   bool asked = false;                  // stands among the clients, else among the newcomers
+  bool spoilt = false;                 // nothing more is read from it
   std::size_t faults = 0, pieces = 0;  // pieces: that came before its first request was whole
 
   std::uint64_t unread() const { return ending() ? 0 : outbox().appended() - outbox().written(); }
@@ -44,15 +45,14 @@
 
   // Danger: half a request, or none, would hold a descriptor for good.
   void expect_whole() {
-    whole_by_ = loop().at(loop().now() + kWholeMost, [this] {
-      front_.counters_.add(asked ? "resp.half_request" : "resp.no_request");
-      end_later();
-    });
+    whole_by_ = loop().at(loop().now() + kWholeMost,
+                          [this] { front_.spoil(*this, asked ? "resp.half_request" : "resp.no_request"); });
   }
   void received(std::string_view bytes) override {
+    if (spoilt) return;
     std::vector<Words> commands;
     const bool sound = parser_.take(bytes, commands);
-    if (!commands.empty() && !front_.promote(*this)) return;
+    if (!commands.empty() && !front_.promote(*this)) return front_.turn_away(*this, commands);
     if (!asked) front_.heard(*this);
     // A timer a begun request: the next one's time starts with its own first byte.
     if (begun_ && (!commands.empty() || !parser_.begun())) loop().cancel(whole_by_);
@@ -60,12 +60,10 @@
     begun_ = parser_.begun() || !asked;
     leave_out_taken_back(commands);
     for (auto& words : commands) {
-      if (ending()) return;  // what came behind a fault is not begun
+      if (ending() || spoilt) return;  // what came behind a fault is not begun
       front_.take(*this, std::move(words));
     }
-    if (sound) return;
-    front_.counters_.add("resp.malformed");
-    end_later();
+    if (!sound) front_.spoil(*this, "resp.malformed");
   }
   // Danger: hundreds of calls that are taken back in the bytes they came in would each cost a host something.
   void leave_out_taken_back(std::vector<Words>& commands) {
@@ -172,16 +170,37 @@
   client.asked = true;
   if (clients_.size() <= limits_.clients) return true;
   const auto self = std::prev(clients_.end());
-  const auto idle = std::find_if(clients_.begin(), self, [](const auto& c) { return c->idle(); });
+  // Danger: a request that has come and was not read yet would be lost with its connection.
+  const auto at_rest = [](const auto& c) { return c->idle() && c->peer() != net::Peer::spoke; };
+  const auto idle = std::find_if(clients_.begin(), self, at_rest);
   if (idle != self) {
     shed(*idle, "resp.idle_closed");
     return true;
   }
   counters_.add("resp.no_place");
-  client.end_later();
   return false;
 }
 
+// What it has asked is refused, and the connection ends: none of it was sent on.
+void Front::turn_away(Client& client, const std::vector<Words>& commands) {
+  for (const auto& words : commands) {
+    if (words.size() > 1 && words[0] == "CALL")
+      say(client, words[1], core::Verdict::refused, core::Millis(0), {});
+  }
+  client.flush_now();
+  client.end_later();
+}
+
+// What comes over it is worth nothing from here on. Danger: calls that came before are owed their answers: it
+// ends when they have them.
+void Front::spoil(Client& client, const char* why) {
+  counters_.add(why);
+  client.spoilt = true;
+  client.faults = kFaultsMost + 1;
+  if (client.idle()) return client.end_later();
+  close_if_spent(client);
+}
+
 Front::Clients& Front::list_of(const Client& client) {
   return client.asked ? clients_ : client.pieces > 0 ? begun_ : silent_;
 }
@@ -233,8 +252,7 @@
 void Front::take(Client& client, Words&& words) {
   const auto tag = words.size() < 2 ? std::nullopt : net::parse_whole(words[1], UINT64_MAX);
   if (!tag || *tag == 0) {
-    counters_.add("resp.no_tag");  // there is nothing to answer under
-    return client.end_later();
+    return spoil(client, "resp.no_tag");  // there is nothing to answer under
   }
   if (words[0] == "CALL") return call(client, std::move(words));
   if (words[0] == "CANCEL") {
@@ -258,8 +276,7 @@
 void Front::call(Client& client, Words&& words) {
   const std::string tag = words[1];
   if (client.open_calls.count(tag) != 0) {
-    counters_.add("resp.tag_repeated");  // two answers under one tag could not be told apart
-    return client.end_later();
+    return spoil(client, "resp.tag_repeated");  // two answers under one tag could not be told apart
   }
   if (!takes_) {
     counters_.add("resp.handed_over");
@@ -374,6 +391,19 @@
   close_if_spent(*filed.client);
 }
 
+core::Front::Caller Front::caller(core::CallId call) {
+  const auto found = by_call_.find(call);
+  if (found == by_call_.end()) return Caller::gone;
+  Client& client = *found->second.client;
+  switch (client.peer()) {
+    case net::Peer::quiet: return Caller::waits;
+    case net::Peer::spoke: return Caller::spoke;
+    case net::Peer::gone: break;
+  }
+  client.end_later();
+  return Caller::gone;
+}
+
 void Front::unfile(core::CallId call) {
   const auto found = by_call_.find(call);
   if (found == by_call_.end()) return;
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -47,6 +47,7 @@
   bool written() const;  // nothing waits to be written
 
   void answer(core::CallId call, core::Answer&& answer) override;
+  Caller caller(core::CallId call) override;
 
  private:
   class Client;
@@ -75,6 +76,8 @@
   Clients& list_of(const Client& client);
   void heard(Client& client);
   void bound_newcomers();
+  void turn_away(Client& client, const std::vector<Words>& commands);
+  void spoil(Client& client, const char* why);
   void shed(const std::shared_ptr<Client>& client, const char* why);
   void pause_listening();
   void take(Client& client, Words&& words);
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -1,9 +1,7 @@
 // The platform's front and the hosts' connections, over loopback.
 #include <sys/socket.h>
 
-#include "helper.h"
-#include "net/fields.h"
-#include "resp/front.h"
+#include "platform.h"
 #include "takeover/shares.h"
 
 namespace lotusyard::test {
@@ -11,50 +9,6 @@
 
 using Kind = Reaction::Kind;
 
-class Client final : public net::Stream {
- public:
-  Client(World& world, const std::string& address)
-      : Stream(world.loop, world.pool, net::connect_to(address), true), world_(world) {}
-  void say(const std::vector<std::string_view>& words) {
-    std::string out;
-    resp::write_array(out, words);
-    write(out);
-  }
-  void call(const std::string& tag, const std::string& cls, const std::string& body, int allow = 1000) {
-    const std::string fields = "ref=" + net::hex16(std::hash<std::string>()(tag + body)) +
-                               ",allow=" + std::to_string(allow) +
-                               ",lookup=00000000000000a1,spec=memory_mb:300;lanes:4";
-    say({"CALL", tag, cls, fields, body});
-  }
-  const resp::Words* answer(const std::string& tag) {
-    const auto has = [&] {
-      return std::any_of(got.begin(), got.end(), [&](const auto& w) { return w[0] == tag; });
-    };
-    if (!world_.turn_until([&] { return has() || closed; }, 20000) || !has()) return nullptr;
-    return &*std::find_if(got.begin(), got.end(), [&](const auto& w) { return w[0] == tag; });
-  }
-  std::vector<resp::Words> got;
-  bool closed = false;
-
- private:
-  World& world_;
-  resp::Parser parser_;
-  void connected() override { loop().flush_later(*this); }
-  void received(std::string_view bytes) override { REQUIRE(parser_.take(bytes, got)); }
-  void ended() override { closed = true; }
-};
-
-struct Platform {
-  World world;
-  resp::Front front;
-  explicit Platform(std::size_t hosts, resp::Front::Limits limits = {},
-                    const hosts::Limits& host_limits = World::limits())
-      : world(hosts, settings(), host_limits),
-        front(world.loop, world.pool, world.dispatcher, world.counters, limits) {
-    REQUIRE(front.listen("127.0.0.1:0"));
-  }
-};
-
 TEST_CASE("a client's call is served with its body unchanged") {
   Platform p(2);
   Client c(p.world, p.front.address());
