--- a/src/app/bounds.cpp
+++ b/src/app/bounds.cpp
@@ -9,7 +9,8 @@
 
 using core::Millis;
 
-constexpr double kQuietAim = 0.8;  // a silent connection is asked for a sign in time for the shortest aim
+constexpr double kQuietAim =
+    0.8;  // a silent connection is asked by a liveness probe in time for the shortest aim
 
 }  // namespace
 
@@ -26,7 +27,9 @@
   out.longest_answer = std::max({shares.incoming / 4, std::size_t{256} << 10, longest_call});
   out.report_fields = config.report_fields;
   const auto& settings = config.settings;
-  out.sign = settings.probes ? hosts::Sign::health : settings.orders ? hosts::Sign::order : hosts::Sign::none;
+  out.liveness = settings.probes   ? hosts::LivenessProbe::health
+                 : settings.orders ? hosts::LivenessProbe::order
+                                   : hosts::LivenessProbe::none;
   Millis aim{0};
   for (const auto& c : settings.classes) {
     if (c.aim.count() > 0) aim = aim.count() > 0 ? std::min(aim, c.aim) : c.aim;
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -15,11 +15,11 @@
 using net::field;
 
 constexpr Millis kQuietLeast{
-    200};                         // a link with something out that is silent for longer is asked for a sign,
+    200};  // a link with something out that is silent for longer is asked by a liveness probe,
 constexpr double kQuietRuns = 2;  // so many usual answers, but no longer than the limit that is set
 constexpr double kUsualGain = 0.05;
-constexpr double kSignShare = 0.05;  // signs asked for each attempt, over all links
-constexpr double kSignsMost = 5;     // and what may be saved up of them
+constexpr double kProbeShare = 0.05;  // liveness probes for each attempt, over all links
+constexpr double kProbesMost = 5;     // and what may be saved up of them
 
 }  // namespace
 
@@ -27,17 +27,17 @@
   return std::min(std::max(usual_answer_ * kQuietRuns, kQuietLeast), std::max(limits_.quiet, kQuietLeast));
 }
 void Fleet::note_answer(Millis took) { usual_answer_ += kUsualGain * (took - usual_answer_); }
-// Danger: each sign is cheap, but calls that wait for a load are silent as well. Asked for whatever is late,
-// a hundred invokers' signs are more than their calls.
-bool Fleet::take_sign() {
-  if (signs_left_ < 1) return false;
-  signs_left_ -= 1;
-  counters_.add("hosts.signs_asked");
+// Danger: each liveness probe is cheap, but calls that wait for a load are silent as well. Asked for whatever
+// is late, a hundred invokers' probes are more than their calls.
+bool Fleet::take_liveness_probe() {
+  if (probes_left_ < 1) return false;
+  probes_left_ -= 1;
+  counters_.add("hosts.liveness_probes");
   return true;
 }
 
 Fleet::Fleet(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, Limits limits)
-    : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)), signs_left_(kSignsMost) {}
+    : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)), probes_left_(kProbesMost) {}
 Fleet::~Fleet() = default;
 
 void Fleet::members(const core::MemberList& list) {
@@ -176,7 +176,7 @@
   const Millis now = loop_.now();
   if (host->until <= now) host->lingers = false;
   host->until = std::max(host->until, now + patience);
-  signs_left_ = std::min(signs_left_ + kSignShare, kSignsMost);
+  probes_left_ = std::min(probes_left_ + kProbeShare, kProbesMost);
   link->exec(attempt, call, patience);
 }
 
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -19,11 +19,11 @@
 using core::Millis;
 
 // How a connection that has fallen silent is asked whether anything still comes over it.
-enum class Sign { none, health, order };  // order: one that only asks, where probes are not allowed
+enum class LivenessProbe { none, health, order };  // order: one that only asks, where probes are not allowed
 
 struct Limits {
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000};
-  Sign sign = Sign::health;
+  LivenessProbe liveness = LivenessProbe::health;
   Millis quiet{400};        // a connection is never asked sooner than after this, where answers take long
   Millis past_kept{10000};  // a late answer to an attempt that has ended may still come for so long
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
@@ -77,7 +77,7 @@
   std::size_t links_ = 0, incoming_ = 0;
   std::uint64_t last_tag_ = 0;
   Millis usual_answer_{0};  // moving average over all hosts
-  double signs_left_ = 0;   // a token bucket, filled by what is sent
+  double probes_left_ = 0;  // a token bucket, filled by what is sent
 
   bool allows(const std::string& id, const core::Call* call, std::uint64_t function) const;
   Host* ready_host(const std::string& id, const core::Call* call, std::uint64_t function);
@@ -92,7 +92,7 @@
   void hold(Link& link, std::size_t before, std::size_t now);
   Millis quiet_most() const;
   void note_answer(Millis took);
-  bool take_sign();
+  bool take_liveness_probe();
 };
 
 }  // namespace lotusyard::hosts
--- a/src/hosts/link.cpp
+++ b/src/hosts/link.cpp
@@ -174,7 +174,7 @@
     asked_.erase(found);
     if (asked.kind == Asked::Kind::order) fleet_.no_order(host_, asked.function);
     if (asked.kind == Asked::Kind::probe) fleet_.no_probe(host_);
-    if (asked.kind == Asked::Kind::sign) sign_asked_ = Millis(0);
+    if (asked.kind == Asked::Kind::liveness) probed_ = Millis(0);
   }
   rest();
 }
--- a/src/hosts/link.h
+++ b/src/hosts/link.h
@@ -57,7 +57,7 @@
     bool looked = false;  // its caller had sent something, which has been read since
   };
   struct Asked {
-    enum class Kind { order, probe, sign };  // sign: whether anything comes over this link at all
+    enum class Kind { order, probe, liveness };  // liveness: whether anything comes over this link at all
     Kind kind = Kind::order;
     std::uint64_t function = 0;
     Millis at{0};
@@ -73,9 +73,9 @@
   std::deque<Pending> pending_;
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
-  Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0};
+  Millis heard_{0}, sent_{0}, begun_{0}, probed_{0};
   std::size_t held_ = 0;
-  int signs_ = 0;  // asked for since the last answer of an attempt
+  int probes_unanswered_ = 0;  // asked for since the last answer of an attempt
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{}, again_{};
 
--- a/src/hosts/link_checks.cpp
+++ b/src/hosts/link_checks.cpp
@@ -8,8 +8,8 @@
 
 using core::Outcome;
 
-constexpr int kSignDoublings = 4;
-constexpr Millis kSignMost{250};    // and ended if none comes: a host answers that beside its queue
+constexpr int kProbeDoublings = 4;
+constexpr Millis kProbeMost{250};   // and ended if none comes: a host answers that beside its queue
 constexpr Millis kPieceMost{200};   // between two pieces of an answer; later, its rest never comes
 constexpr Millis kWholeMost{2000};  // and from its first to its last
 constexpr Millis kCheckPace{50};
@@ -23,30 +23,30 @@
 }
 
 // Danger: a link over which nothing comes any more, or never the rest of an answer, holds whatever is out
-// on it to the deadline, though its host serves others well. One sign asked for tells it from a busy host.
+// on it to the deadline, though its host serves others well. One liveness probe tells it from a busy host.
 void Fleet::Link::check() {
   checking_ = false;
   if (load() == 0 || ending()) return;
   const Millis now = fleet_.loop_.now();
   // Danger: a long answer, or one that comes in small pieces, takes long though nothing is wrong.
   const bool torn = begun_.count() > 0 && (now - heard_ > kPieceMost || now - begun_ > kWholeMost);
-  const bool unsigned_ = sign_asked_ > heard_ && now - sign_asked_ > kSignMost;
-  if (open() && (torn || unsigned_)) {
+  const bool unanswered = probed_ > heard_ && now - probed_ > kProbeMost;
+  if (open() && (torn || unanswered)) {
     fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
     return end_later();
   }
-  const Millis quiet = fleet_.quiet_most() * (1 << std::min(signs_, kSignDoublings));
-  const bool waits = open() && !attempts_.empty() && sign_asked_ <= heard_;
-  if (fleet_.limits_.sign != Sign::none && waits && now - std::max(heard_, sent_) > quiet &&
-      fleet_.take_sign()) {
-    sign_asked_ = now;
-    ++signs_;
+  const Millis quiet = fleet_.quiet_most() * (1 << std::min(probes_unanswered_, kProbeDoublings));
+  const bool waits = open() && !attempts_.empty() && probed_ <= heard_;
+  if (fleet_.limits_.liveness != LivenessProbe::none && waits && now - std::max(heard_, sent_) > quiet &&
+      fleet_.take_liveness_probe()) {
+    probed_ = now;
+    ++probes_unanswered_;
     const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
     // Danger: a probe that the settings forbid breaks a rule. An order for no copy is allowed, and tells as
     // much; its function is one that a client has called.
-    const bool order = fleet_.limits_.sign == Sign::order;
+    const bool order = fleet_.limits_.liveness == LivenessProbe::order;
     const std::uint64_t function = attempts_.begin()->second.function;
-    ask(tag, Asked::Kind::sign, function, order ? order_line(tag, function, 0) : "health " + tag,
+    ask(tag, Asked::Kind::liveness, function, order ? order_line(tag, function, 0) : "health " + tag,
         order ? Pending::Kind::order : Pending::Kind::word);
   }
   if (std::exchange(checking_, true)) return;
--- a/src/hosts/link_hears.cpp
+++ b/src/hosts/link_hears.cpp
@@ -88,7 +88,7 @@
     if (sign) return false;
     const core::Attempt attempt = found->second.attempt;
     fleet_.note_answer(fleet_.loop_.now() - found->second.at);
-    signs_ = 0;
+    probes_unanswered_ = 0;
     attempts_.erase(found);
     fleet_.attempts_.erase(attempt);
     past(reply.id, true);
--- a/tests/lotusyard/clubs_test.cpp
+++ b/tests/lotusyard/clubs_test.cpp
@@ -10,7 +10,7 @@
 
 constexpr Millis kLoad{60}, kRun{8}, kWindow{700};
 
-struct Runs {  // over all hosts
+struct Runs {                          // over all hosts
   std::map<std::string, Millis> keys;  // when each key first came
   std::map<std::string, int> by_key, by_body;
   int dropped = 0, loads = 0, probes = 0, cut = 0;
@@ -70,9 +70,8 @@
       const bool asks = net::field(*fields, "count") == "0";
       const Millis at = asks ? world_.loop.now() : load(function);
       const bool stands = standing_.count(function) != 0 && standing_.at(function) <= at;
-      world_.loop.at(at, [this, peer, tag, stands] {
-        say(peer, tag + " data count=" + (stands ? "1" : "0") + "\r\n");
-      });
+      world_.loop.at(
+          at, [this, peer, tag, stands] { say(peer, tag + " data count=" + (stands ? "1" : "0") + "\r\n"); });
     }
     if (line.id != "exec") return;  // a cancel stops nothing
     REQUIRE(fields);
@@ -113,7 +112,7 @@
                      robinfold::ReportField::loading};
   hosts::Limits limits;
   limits.report_fields = {"inflight", "x0", "x1"};
-  limits.sign = hosts::Sign::order;
+  limits.liveness = hosts::LivenessProbe::order;
   limits.quiet = Millis(120);
   World world(0, s, limits);
   Runs runs;
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -1,7 +1,8 @@
 // The platform's front and the hosts' connections, over loopback.
+#include "platform.h"
+
 #include <sys/socket.h>
 
-#include "platform.h"
 #include "takeover/shares.h"
 
 namespace lotusyard::test {
@@ -458,8 +459,8 @@
   CHECK(p.world.turn_until([&] { return p.world.counters.value("hosts.links_ended") == 1; }, 20000));
 }
 
-// Failure found: calls that waited for a load were silent, and each invoker asked for a sign every 0.2 s: on
-// a day of 100 invokers more signs than calls.
+// Failure found: calls that waited for a load were silent, and each invoker asked by a liveness probe every
+// 0.2 s: on a day of 100 invokers more signs than calls.
 TEST_CASE("silent links are asked for few signs, however many calls wait on them") {
   World world(12);
   for (auto& host : world.host) host->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
@@ -527,10 +528,11 @@
 // Failure found: every connection on which a call waited for a load was asked by a probe that the settings
 // forbid, was not answered, and was ended with all its calls.
 TEST_CASE("what is asked of a silent connection is what the settings allow") {
-  const auto sign = GENERATE(hosts::Sign::health, hosts::Sign::order, hosts::Sign::none);
+  const auto sign =
+      GENERATE(hosts::LivenessProbe::health, hosts::LivenessProbe::order, hosts::LivenessProbe::none);
   const bool mute = GENERATE(true, false);
   hosts::Limits limits = World::limits();
-  limits.sign = sign;
+  limits.liveness = sign;
   World world(1, settings(), limits);
   auto& host = *world.host[0];
   host.mute = mute;
@@ -543,9 +545,9 @@
   world.fleet.exec({1, 0}, "h0", call, Millis(5000));
   const Millis began = world.loop.now();
   world.turn_until([&] { return world.loop.now() - began > Millis(1500); }, 20000);
-  CHECK((host.signs > 0) == (sign == hosts::Sign::health));
-  CHECK((host.asks > 0) == (sign == hosts::Sign::order));
-  CHECK(world.counters.value("hosts.silent_links") == (mute && sign != hosts::Sign::none ? 1 : 0));
+  CHECK((host.signs > 0) == (sign == hosts::LivenessProbe::health));
+  CHECK((host.asks > 0) == (sign == hosts::LivenessProbe::order));
+  CHECK(world.counters.value("hosts.silent_links") == (mute && sign != hosts::LivenessProbe::none ? 1 : 0));
 }
 
 }  // namespace
