A silent connection to a host that drains is asked by no order, also none that only asks

Change: it is not asked where the host may have no order; the last look would withhold it as well. Alternative: the last look alone, which would spend the ration of probes.

--- a/src/hosts/link.h
+++ b/src/hosts/link.h
@@ -89,6 +89,7 @@
   void never_goes(const Pending& pending);
   void expect();
   void check();
+  void ask_whether_alive();
   void connect_late();
   void rest();
   void order_late(const std::string& tag);
--- a/src/hosts/link_checks.cpp
+++ b/src/hosts/link_checks.cpp
@@ -22,6 +22,20 @@
   check_ = fleet_.loop_.at(sent_ + kCheckPace, [this] { check(); });
 }
 
+void Fleet::Link::ask_whether_alive() {
+  // Danger: a probe that the settings forbid breaks a rule. An order for no copy is allowed, and tells as
+  // much; its function is one that a client has called. An order must not go to a host that drains.
+  const bool order = fleet_.limits_.liveness == LivenessProbe::order;
+  const std::uint64_t function = attempts_.begin()->second.function;
+  if (fleet_.limits_.liveness == LivenessProbe::none) return;
+  if ((order && !fleet_.allows(host_, nullptr, function)) || !fleet_.take_liveness_probe()) return;
+  probed_ = fleet_.loop_.now();
+  ++probes_unanswered_;
+  const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
+  ask(tag, Asked::Kind::liveness, function, order ? order_line(tag, function, 0) : "health " + tag,
+      order ? Pending::Kind::order : Pending::Kind::word);
+}
+
 // Danger: a link over which nothing comes any more, or never the rest of an answer, holds whatever is out
 // on it to the deadline, though its host serves others well. One liveness probe tells it from a busy host.
 void Fleet::Link::check() {
@@ -37,18 +51,7 @@
   }
   const Millis quiet = fleet_.quiet_most() * (1 << std::min(probes_unanswered_, kProbeDoublings));
   const bool waits = open() && !attempts_.empty() && probed_ <= heard_;
-  if (fleet_.limits_.liveness != LivenessProbe::none && waits && now - std::max(heard_, sent_) > quiet &&
-      fleet_.take_liveness_probe()) {
-    probed_ = now;
-    ++probes_unanswered_;
-    const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
-    // Danger: a probe that the settings forbid breaks a rule. An order for no copy is allowed, and tells as
-    // much; its function is one that a client has called.
-    const bool order = fleet_.limits_.liveness == LivenessProbe::order;
-    const std::uint64_t function = attempts_.begin()->second.function;
-    ask(tag, Asked::Kind::liveness, function, order ? order_line(tag, function, 0) : "health " + tag,
-        order ? Pending::Kind::order : Pending::Kind::word);
-  }
+  if (waits && now - std::max(heard_, sent_) > quiet) ask_whether_alive();
   if (std::exchange(checking_, true)) return;
   check_ = fleet_.loop_.at(now + kCheckPace, [this] { check(); });
 }
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -550,5 +550,27 @@
   CHECK(world.counters.value("hosts.silent_links") == (mute && sign != hosts::LivenessProbe::none ? 1 : 0));
 }
 
+// Failure found in review: where probes are not allowed, a silent connection to a host that drains was asked
+// by an order, later than any may go there.
+TEST_CASE("a silent connection to a host that was told draining gets no order, also none that only asks") {
+  hosts::Limits limits = World::limits();
+  limits.liveness = hosts::LivenessProbe::order;
+  World world(1, settings(), limits);
+  auto& host = *world.host[0];
+  host.react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  core::Call call;
+  call.ref = net::hex16(1);
+  call.class_name = "bin-check";
+  call.function = 0xa1;
+  call.function_name = "00000000000000a1";
+  world.fleet.exec({1, 0}, "h0", call, Millis(5000));
+  REQUIRE(world.turn_until([&] { return host.execs == 1; }, 2000));
+  world.tell(robinfold::WorkerState::draining);
+  const Millis began = world.loop.now();
+  world.turn_until([&] { return world.loop.now() - began > Millis(1500); }, 20000);
+  CHECK(host.asks == 0);
+  CHECK(world.counters.value("hosts.silent_links") == 0);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
