--- a/tests/lotusyard/platform.h
+++ b/tests/lotusyard/platform.h
@@ -44,8 +44,7 @@
   World world;
   resp::Front front;
   explicit Platform(std::size_t hosts, resp::Front::Limits limits = {},
-                    const hosts::Limits& host_limits = World::limits(),
-                    const core::Settings& s = settings())
+                    const hosts::Limits& host_limits = World::limits(), const core::Settings& s = settings())
       : world(hosts, s, host_limits),
         front(world.loop, world.pool, world.dispatcher, world.counters, limits) {
     REQUIRE(front.listen("127.0.0.1:0"));
