--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -525,6 +525,16 @@
   CHECK(world.counters.value("calls.bad_key") == 3);
 }
 
+// One call is out at the first host for five seconds.
+void call_out(World& world) {
+  core::Call call;
+  call.ref = net::hex16(1);
+  call.class_name = "bin-check";
+  call.function = 0xa1;
+  call.function_name = "00000000000000a1";
+  world.fleet.exec({1, 0}, "h0", call, Millis(5000));
+}
+
 // Failure found: every connection on which a call waited for a load was asked by a probe that the settings
 // forbid, was not answered, and was ended with all its calls.
 TEST_CASE("what is asked of a silent connection is what the settings allow") {
@@ -537,12 +547,7 @@
   auto& host = *world.host[0];
   host.mute = mute;
   host.react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
-  core::Call call;
-  call.ref = net::hex16(1);
-  call.class_name = "bin-check";
-  call.function = 0xa1;
-  call.function_name = "00000000000000a1";
-  world.fleet.exec({1, 0}, "h0", call, Millis(5000));
+  call_out(world);
   const Millis began = world.loop.now();
   world.turn_until([&] { return world.loop.now() - began > Millis(1500); }, 20000);
   CHECK((host.signs > 0) == (sign == hosts::LivenessProbe::health));
@@ -558,12 +563,7 @@
   World world(1, settings(), limits);
   auto& host = *world.host[0];
   host.react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
-  core::Call call;
-  call.ref = net::hex16(1);
-  call.class_name = "bin-check";
-  call.function = 0xa1;
-  call.function_name = "00000000000000a1";
-  world.fleet.exec({1, 0}, "h0", call, Millis(5000));
+  call_out(world);
   REQUIRE(world.turn_until([&] { return host.execs == 1; }, 2000));
   world.tell(robinfold::WorkerState::draining);
   const Millis began = world.loop.now();
