--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -104,10 +104,10 @@
 }
 
 void Invoker::follow_list() {
-  feed::Log log;
+  discovery::Log log;
   for (const auto& event : config_->known_events) {
     core::MemberList list;
-    if (log.event(event, list) != feed::Log::Read::news) continue;
+    if (log.event(event, list) != discovery::Log::Read::news) continue;
     membership_.list(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
   }
   log.skip_to(config_->known_seq);
@@ -120,8 +120,8 @@
     std::string fault;
     if (!host_file_->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
   } else {
-    feed_.emplace(loop_, pool_, counters_, config_->changelog, log, told_later);
-    feed_->start();
+    discovery_.emplace(loop_, pool_, counters_, config_->changelog, log, told_later);
+    discovery_->start();
   }
 }
 
@@ -208,7 +208,7 @@
     std::string fault;
     if (host_file_ && !host_file_->move(next->xds->file, next->xds->cluster, fault))
       throw config::ConfigError("configuration: xds.file: " + fault);
-    if (feed_) feed_->move(next->changelog);
+    if (discovery_) discovery_->move(next->changelog);
     const std::string differs = keep_what_needs_a_start(*config_, *next);
     if (!differs.empty()) std::cerr << "lotusyard: hold from the next start: " << differs << std::endl;
     config_ = next;
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -11,7 +11,7 @@
 #include "config/config.h"
 #include "console/door.h"
 #include "core/dispatcher.h"
-#include "feed/feed.h"
+#include "discovery/discovery.h"
 #include "hosts/fleet.h"
 #include "membership/membership.h"
 #include "membership/out_files.h"
@@ -44,7 +44,7 @@
   core::Dispatcher dispatcher_;
   membership::OutFiles out_files_;
   membership::Membership membership_;
-  std::optional<feed::Feed> feed_;
+  std::optional<discovery::Discovery> discovery_;
   std::optional<xds::HostFile> host_file_;
   resp::Front front_;
   std::unique_ptr<answers::Store> store_;
--- a/src/feed/feed.cpp
+++ b/src/discovery/discovery.cpp
@@ -1,10 +1,10 @@
-#include "feed/feed.h"
+#include "discovery/discovery.h"
 
 #include <algorithm>
 
 #include "config/json_read.h"
 
-namespace lotusyard::feed {
+namespace lotusyard::discovery {
 namespace {
 
 using config::key;
@@ -73,29 +73,29 @@
   return Read::news;
 }
 
-class Feed::Connection final : public net::Stream {
+class Discovery::Connection final : public net::Stream {
  public:
-  Connection(Feed& feed, net::Socket socket)
-      : Stream(feed.loop_, feed.pool_, std::move(socket), true), feed_(feed) {
+  Connection(Discovery& discovery, net::Socket socket)
+      : Stream(discovery.loop_, discovery.pool_, std::move(socket), true), discovery_(discovery) {
     expect(kConnectMost);
   }
-  ~Connection() override { feed_.loop_.cancel(quiet_); }
+  ~Connection() override { discovery_.loop_.cancel(quiet_); }
 
  private:
-  Feed& feed_;
+  Discovery& discovery_;
   LineCutter cutter_;
   net::Loop::TimerId quiet_{};
 
   void expect(Millis within) {
-    feed_.loop_.cancel(quiet_);
-    quiet_ = feed_.loop_.at(feed_.loop_.now() + within, [this] {
-      feed_.counters_.add("feed.quiet");
+    discovery_.loop_.cancel(quiet_);
+    quiet_ = discovery_.loop_.at(discovery_.loop_.now() + within, [this] {
+      discovery_.counters_.add("feed.quiet");
       end_later();
     });
   }
   void connected() override {
-    feed_.counters_.add("feed.connections");
-    write("since " + std::to_string(feed_.log_.last()) + "\n");
+    discovery_.counters_.add("feed.connections");
+    write("since " + std::to_string(discovery_.log_.last()) + "\n");
     expect(kQuietMost);
   }
   void received(std::string_view bytes) override {
@@ -106,29 +106,29 @@
     if (!lines.empty()) expect(kQuietMost);
     for (const auto& line : lines) {
       core::MemberList list;
-      const auto read = feed_.log_.line(line, list);
-      if (read == Log::Read::news || read == Log::Read::nothing) feed_.pause_ = Millis(0);
+      const auto read = discovery_.log_.line(line, list);
+      if (read == Log::Read::news || read == Log::Read::nothing) discovery_.pause_ = Millis(0);
       if (read == Log::Read::news) {
-        feed_.counters_.add("feed.events");
-        feed_.told_(list);
+        discovery_.counters_.add("feed.events");
+        discovery_.told_(list);
       } else if (read != Log::Read::nothing) {
         sound = false;  // ask again from the last event that was understood
         break;
       }
     }
     if (sound) return;
-    feed_.counters_.add("feed.malformed_or_gap");
+    discovery_.counters_.add("feed.malformed_or_gap");
     end_later();
   }
   void ended() override {
-    feed_.loop_.cancel(quiet_);
-    if (current()) feed_.again();
+    discovery_.loop_.cancel(quiet_);
+    if (current()) discovery_.again();
   }
-  bool current() const { return feed_.connection_.get() == this; }  // false: the log has moved on
+  bool current() const { return discovery_.connection_.get() == this; }  // false: the log has moved on
 };
 
-Feed::Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
-           Told told)
+Discovery::Discovery(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address,
+                     Log log, Told told)
     : loop_(loop),
       pool_(pool),
       counters_(counters),
@@ -136,9 +136,9 @@
       log_(log),
       told_(std::move(told)) {}
 
-Feed::~Feed() { loop_.cancel(timer_); }
+Discovery::~Discovery() { loop_.cancel(timer_); }
 
-void Feed::connect() {
+void Discovery::connect() {
   net::Socket socket = net::connect_to(address_);
   if (!socket) return again();
   connection_ = std::make_shared<Connection>(*this, std::move(socket));
@@ -146,7 +146,7 @@
 
 // Danger: the old address tells nothing more but stays open a while, and looks well. The new one is asked at
 // once: what it has to tell counts as told before long.
-void Feed::move(const std::string& address) {
+void Discovery::move(const std::string& address) {
   if (address == address_) return;
   counters_.add("feed.moves");
   address_ = address;
@@ -161,7 +161,7 @@
   connect();
 }
 
-void Feed::again() {
+void Discovery::again() {
   if (connection_) loop_.bury(std::move(connection_));
   connection_.reset();
   loop_.cancel(timer_);
@@ -169,4 +169,4 @@
   pause_ = std::min(std::max(pause_ * 2, kPauseFirst), kPauseMost);
 }
 
-}  // namespace lotusyard::feed
+}  // namespace lotusyard::discovery
--- a/src/feed/feed.h
+++ b/src/discovery/discovery.h
@@ -13,7 +13,7 @@
 #include "net/loop.h"
 #include "net/stream.h"
 
-namespace lotusyard::feed {
+namespace lotusyard::discovery {
 
 // Lines in whatever pieces they come; false once a line is longer than any event may be.
 class LineCutter {
@@ -39,12 +39,12 @@
   std::uint64_t last_;
 };
 
-class Feed {
+class Discovery {
  public:
   using Told = std::function<void(const core::MemberList&)>;
-  Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
-       Told told);
-  ~Feed();
+  Discovery(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
+            Told told);
+  ~Discovery();
   void start() { connect(); }
   // The log goes on at another address, under the same numbers.
   void move(const std::string& address);
@@ -65,4 +65,4 @@
   void again();
 };
 
-}  // namespace lotusyard::feed
+}  // namespace lotusyard::discovery
--- a/tests/lotusyard/feed_test.cpp
+++ b/tests/lotusyard/discovery_test.cpp
@@ -1,5 +1,5 @@
 // The change log over connections that break.
-#include "feed/feed.h"
+#include "discovery/discovery.h"
 
 #include "helper.h"
 
@@ -16,7 +16,7 @@
 
    private:
     StandInLog& log_;
-    feed::LineCutter cutter_;
+    discovery::LineCutter cutter_;
     void received(std::string_view bytes) override {
       std::vector<std::string> lines;
       REQUIRE(cutter_.take(bytes, lines));
@@ -51,11 +51,11 @@
   StandInLog log(loop, pool);
   std::vector<std::string> told, all;
   for (int i = 4; i <= 20; ++i) all.push_back("s" + std::to_string(i));
-  feed::Feed feed(loop, pool, counters, log.server.address(), feed::Log(3),
-                  [&](const core::MemberList& list) {
-                    for (const auto& m : list.members) told.push_back(m.entry.worker);
-                  });
-  feed.start();
+  discovery::Discovery discovery(loop, pool, counters, log.server.address(), discovery::Log(3),
+                                 [&](const core::MemberList& list) {
+                                   for (const auto& m : list.members) told.push_back(m.entry.worker);
+                                 });
+  discovery.start();
   for (int i = 0; i < 5000 && told.size() < all.size(); ++i) loop.turn(loop.now() + Millis(20), [] {});
   CHECK(told == all);
   CHECK(log.asked.size() > 1);
@@ -71,15 +71,16 @@
   old.events = 3;
   old.stays_open = true;
   std::vector<std::string> told;
-  feed::Feed feed(loop, pool, counters, old.server.address(), feed::Log(3),
-                  [&](const core::MemberList& list) { told.push_back(list.members.at(0).entry.worker); });
+  discovery::Discovery discovery(
+      loop, pool, counters, old.server.address(), discovery::Log(3),
+      [&](const core::MemberList& list) { told.push_back(list.members.at(0).entry.worker); });
   const auto turn_until = [&](const auto& until) {
     for (int i = 0; i < 5000 && !until(); ++i) loop.turn(loop.now() + Millis(20), [] {});
     return until();
   };
-  feed.start();
+  discovery.start();
   REQUIRE(turn_until([&] { return old.asked.size() == 1; }));
-  feed.move(next.server.address());
+  discovery.move(next.server.address());
   REQUIRE(turn_until([&] { return told.size() == 17; }));
   CHECK(told.front() == "s4");
   CHECK(next.asked.front() == 3);
@@ -96,9 +97,9 @@
   log.events = 1;
   log.stays_open = true;
   std::size_t told = 0;
-  feed::Feed feed(loop, pool, counters, log.server.address(), feed::Log(0),
-                  [&](const core::MemberList&) { ++told; });
-  feed.start();
+  discovery::Discovery discovery(loop, pool, counters, log.server.address(), discovery::Log(0),
+                                 [&](const core::MemberList&) { ++told; });
+  discovery.start();
   Millis next = loop.now();
   for (int i = 0; i < 5000 && log.asked.size() < 2; ++i) {
     loop.turn(loop.now() + Millis(20), [] {});
--- a/tests/lotusyard/parsers_test.cpp
+++ b/tests/lotusyard/parsers_test.cpp
@@ -1,6 +1,6 @@
 // The parsers under random cuts of valid messages and under random garbage.
 #include "amqp/wire.h"
-#include "feed/feed.h"
+#include "discovery/discovery.h"
 #include "helper.h"
 #include "net/fields.h"
 #include "resp/parser.h"
@@ -137,14 +137,14 @@
     parse_cut<hosts::LineParser, hosts::Reply>(random, garbage(random, "ab =-1 20\r\n"), sound);
     parse_cut<amqp::FrameParser, amqp::Frame>(random, garbage(random, std::string("\1\2\3\0\0\0\1\xCE", 8)),
                                               sound);
-    parse_cut<feed::LineCutter, std::string>(random, garbage(random, "{}[]\":1,\n"), sound);
+    parse_cut<discovery::LineCutter, std::string>(random, garbage(random, "{}[]\":1,\n"), sound);
     amqp::read_content_header(std::string("\0\x3C\0\0", 4) +
                               garbage(random, std::string("\0\1FAStx\xFF", 8)));
     const std::string wild = garbage(random, std::string("\0\0\0\1FAStx", 9));
     amqp::Reader reader(wild);
     reader.table();
     net::parse_fields(garbage(random, "a=b,;:"));
-    feed::Log log;
+    discovery::Log log;
     core::MemberList list;
     log.line(R"({"seq":1,"fleet":{"members":[)" + garbage(random, "{}\"id:,") + "]}}", list);
   }
@@ -156,17 +156,17 @@
            R"(,"fleet":{"complete":false,"members":[{"id":"s","host_port":"127.0.0.1:9",)"
            R"("phase":"draining","up_since_ms":5}]}})";
   };
-  feed::Log log(3);
+  discovery::Log log(3);
   core::MemberList list;
-  CHECK(log.line(event(4), list) == feed::Log::Read::news);
+  CHECK(log.line(event(4), list) == discovery::Log::Read::news);
   REQUIRE(list.members.size() == 1);
   CHECK(list.members[0].entry.state == core::WorkerState::draining);
   CHECK(list.members[0].entry.started == Millis(5));
-  CHECK(log.line(event(4), list) == feed::Log::Read::nothing);
-  CHECK(log.line("4", list) == feed::Log::Read::nothing);
-  CHECK(log.line("6", list) == feed::Log::Read::gap);
-  CHECK(log.line(event(6), list) == feed::Log::Read::gap);
-  CHECK(log.line("{", list) == feed::Log::Read::malformed);
+  CHECK(log.line(event(4), list) == discovery::Log::Read::nothing);
+  CHECK(log.line("4", list) == discovery::Log::Read::nothing);
+  CHECK(log.line("6", list) == discovery::Log::Read::gap);
+  CHECK(log.line(event(6), list) == discovery::Log::Read::gap);
+  CHECK(log.line("{", list) == discovery::Log::Read::malformed);
   CHECK(log.last() == 4);
 }
 
