--- a/src/full/main.cpp
+++ b/src/full/main.cpp
@@ -5,8 +5,8 @@
 
 #include "answers/sqlite_store.h"
 #include "app/app.h"
-#include "company/company.h"
 #include "full/operate.h"
+#include "node/node.h"
 
 namespace lotusyard {
 namespace {
@@ -79,7 +79,7 @@
     if (check_command->parsed()) return check(checked);
     if (answers_command->parsed()) return list_answers(listed);
     if (operating) return operating();
-    return run(file.empty() ? environment("BALANCER_CONFIG") : file, open_store, company::make_company);
+    return run(file.empty() ? environment("BALANCER_CONFIG") : file, open_store, node::make_node);
   } catch (const std::exception& fault) {
     std::cerr << "lotusyard: " << fault.what() << std::endl;
     return 1;
--- a/src/company/lines.cpp
+++ b/src/node/lines.cpp
@@ -1,9 +1,9 @@
-#include "company/lines.h"
+#include "node/lines.h"
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-namespace lotusyard::company {
+namespace lotusyard::node {
 
 void write_line(const std::string& part, robinfold::Millis at, const std::string& member,
                 const std::string& text) {
@@ -16,4 +16,4 @@
   out->info("{} at={} member={} {}", part, static_cast<std::int64_t>(at.count()), member, text);
 }
 
-}  // namespace lotusyard::company
+}  // namespace lotusyard::node
--- a/src/company/lines.h
+++ b/src/node/lines.h
@@ -5,10 +5,10 @@
 
 #include "robinfold/policy.h"
 
-namespace lotusyard::company {
+namespace lotusyard::node {
 
 // `part at=<Unix ms> member=<member> <text>`
 void write_line(const std::string& part, robinfold::Millis at, const std::string& member,
                 const std::string& text);
 
-}  // namespace lotusyard::company
+}  // namespace lotusyard::node
--- a/src/company/company.cpp
+++ b/src/node/node.cpp
@@ -1,10 +1,10 @@
-#include "company/company.h"
+#include "node/node.h"
 
 #include <cmath>
 
-#include "company/lines.h"
+#include "node/lines.h"
 
-namespace lotusyard::company {
+namespace lotusyard::node {
 namespace {
 
 using nlohmann::json;
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-Company::Company(const Wiring& wiring, const group::Config& config)
+Node::Node(const Wiring& wiring, const group::Config& config)
     : wiring_(wiring),
       config_(config),
       lease_(config.terms, wiring.loop.now()),
@@ -39,14 +39,14 @@
        "life=" + std::to_string(member_.life()) + " starts" + (config.serves ? "" : ", serves no calls"));
 }
 
-void Company::note(const std::string& part, const std::string& text) const {
+void Node::note(const std::string& part, const std::string& text) const {
   write_line(part, wiring_.loop.now(), config_.member,
              "term=" + std::to_string(built_ ? member_.term() : 0) +
                  " index=" + std::to_string(crew_.board().index()) + ' ' + text);
 }
 
 // Parts and standing hang on the lease, on the log and on the view.
-void Company::follow() {
+void Node::follow() {
   officer_.update();
   if (!viewer_) return;
   if (crew_.ready() && config_.serves) viewer_->serve();
@@ -55,7 +55,7 @@
 
 // Asked by the module for each host that it considers. List, hand and works have had their say before: what
 // they leave out is no host to the module.
-bool Company::open(const std::string& tenant, std::uint64_t function, const std::string& host) {
+bool Node::open(const std::string& tenant, std::uint64_t function, const std::string& host) {
   if (officer_.book().empty()) return true;
   if (tenant_of_.size() >= functions_most) tenant_of_.clear();  // the one place where it shrinks
   tenant_of_[function] = tenant;
@@ -63,7 +63,7 @@
 }
 
 // Danger: between the module's choice and the kernel a lease may have ended, or a revocation have come.
-bool Company::may_send(const std::string& host, const core::Call* call, std::uint64_t function) {
+bool Node::may_send(const std::string& host, const core::Call* call, std::uint64_t function) {
   if (!crew_.may_send(host)) return false;
   if (officer_.book().empty()) return true;
   if (call != nullptr) return officer_.last_look(call->tenant, host);
@@ -72,7 +72,7 @@
   return found != tenant_of_.end() && officer_.last_look(found->second, host);
 }
 
-void Company::refused(const core::Call& call) {
+void Node::refused(const core::Call& call) {
   if (officer_.book().empty()) return;
   compliance::Verdict verdict;
   for (const auto& [host, member] : wiring_.membership.hosts()) {
@@ -85,11 +85,11 @@
        "refused tenant=" + call.tenant + " regime=" + verdict.regime + " reason=" + verdict.reason);
 }
 
-void Company::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
+void Node::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
   crew_.attempt_ended(host, call, outcome);
 }
 
-std::optional<console::Said> Company::asked(const console::Request& request) {
+std::optional<console::Said> Node::asked(const console::Request& request) {
   if (request.path == "/-/group")
     return request.method == "GET" ? console::Said{200, show_group().dump()} : console::Said{405, "GET"};
   if (request.path == "/-/view" && viewer_) {
@@ -103,7 +103,7 @@
   return crew_.asked(request);
 }
 
-json Company::show_group() const {
+json Node::show_group() const {
   const auto& board = crew_.board();
   json members = json::object(), servers = json::array();
   for (const auto& [id, m] : board.members()) {
@@ -129,9 +129,9 @@
           {"members", members}};
 }
 
-std::unique_ptr<Companion> make_company(const Wiring& wiring, const json& file) {
+std::unique_ptr<Companion> make_node(const Wiring& wiring, const json& file) {
   const auto config = group::read_config(file, wiring.name, core::longest_deadline(wiring.settings()));
-  return config ? std::make_unique<Company>(wiring, *config) : nullptr;
+  return config ? std::make_unique<Node>(wiring, *config) : nullptr;
 }
 
-}  // namespace lotusyard::company
+}  // namespace lotusyard::node
--- a/src/company/company.h
+++ b/src/node/node.h
@@ -12,11 +12,11 @@
 #include "view/viewer.h"
 #include "works/crew.h"
 
-namespace lotusyard::company {
+namespace lotusyard::node {
 
-class Company final : public Companion, private robinfold::Gate {
+class Node final : public Companion, private robinfold::Gate {
  public:
-  Company(const Wiring& wiring, const group::Config& config);
+  Node(const Wiring& wiring, const group::Config& config);
 
   bool ready() const override { return crew_.ready(); }
   bool may_send(const std::string& host, const core::Call* call, std::uint64_t function) override;
@@ -50,6 +50,6 @@
 };
 
 // For lotusyard_full: none where the file has no part `group`.
-std::unique_ptr<Companion> make_company(const Wiring& wiring, const nlohmann::json& file);
+std::unique_ptr<Companion> make_node(const Wiring& wiring, const nlohmann::json& file);
 
-}  // namespace lotusyard::company
+}  // namespace lotusyard::node
