Rename: crew is coordinator, the tests' Crews is Cluster

works::Crew is works::Coordinator in src/works/coordinator*, and the tests' rig of whole members (crews.h, Crews) is Cluster in cluster.h. No assertion changes.

--- a/src/compliance/officer.cpp
+++ b/src/compliance/officer.cpp
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-Officer::Officer(const Wiring& wiring, const group::Config& config, works::Crew& crew, Note note)
-    : wiring_(wiring), config_(config), crew_(crew), note_(std::move(note)) {}
+Officer::Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator,
+                 Note note)
+    : wiring_(wiring), config_(config), coordinator_(coordinator), note_(std::move(note)) {}
 
 void Officer::attach(group::Member& member) {
   member_ = &member;
@@ -25,7 +26,7 @@
 
 // What was decided while this member knew must not go out after it.
 void Officer::update() {
-  const bool knows = crew_.leased();
+  const bool knows = coordinator_.leased();
   if (std::exchange(knew_, knows) && !knows && !book_.empty()) {
     note_("lease over: nothing regulated goes out");
     for (const auto& [name, c] : book_.certificates()) wiring_.fleet.cut(c.host);
@@ -36,7 +37,7 @@
   const auto listed = wiring_.membership.listed(host);
   Place place{host, {}, -1};
   if (listed) place = {host, listed->entry.zone, listed->entry.started.count()};
-  return book_.may(tenant, place, crew_.leased(), wiring_.loop.now(), kClockError);
+  return book_.may(tenant, place, coordinator_.leased(), wiring_.loop.now(), kClockError);
 }
 
 bool Officer::last_look(const std::string& tenant, const std::string& host) const {
@@ -54,7 +55,8 @@
     entry = read_entry(json::parse(text));
   } catch (const std::exception& fault) {
     wiring_.counters.add("compliance.unreadable");
-    return crew_.failed("entry " + std::to_string(index) + " of the log cannot be read: " + fault.what());
+    return coordinator_.failed("entry " + std::to_string(index) +
+                               " of the log cannot be read: " + fault.what());
   }
   proposed_ = Millis(0);
   const auto outcome = book_.apply(index, entry);
@@ -92,12 +94,12 @@
     const bool over = found == book_.certificates().end() || found->second.state != State::ending;
     i = over ? stopped_.erase(i) : std::next(i);
   }
-  if (crew_.leads() && now - proposed_ >= config_.terms.beat() / 2 * kAgain) lead();
+  if (coordinator_.leads() && now - proposed_ >= config_.terms.beat() / 2 * kAgain) lead();
 }
 
 std::string Officer::waits_for(const Certificate& c) const {
   std::string out;
-  for (const auto& [name, m] : crew_.board().members()) {
+  for (const auto& [name, m] : coordinator_.board().members()) {
     const bool silent = wiring_.loop.now() - m.seen >= config_.terms.silent();
     if (m.serves && !silent && !book_.told(c.name, name, m.life)) out += (out.empty() ? "" : ", ") + name;
   }
@@ -133,7 +135,7 @@
                           {"waits_for", c.state == State::ending ? waits_for(c) : ""}};
   json regimes = json::array();
   for (const auto& [name, r] : book_.regimes()) regimes.push_back(name);
-  return {{"member", config_.member}, {"index", book_.index()},       {"knows", crew_.leased()},
+  return {{"member", config_.member}, {"index", book_.index()},       {"knows", coordinator_.leased()},
           {"regimes", regimes},       {"certificates", certificates}, {"tenants", book_.tenants()}};
 }
 
--- a/src/compliance/officer.h
+++ b/src/compliance/officer.h
@@ -5,15 +5,15 @@
 #include "app/app.h"
 #include "compliance/book.h"
 #include "group/member.h"
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 namespace lotusyard::compliance {
 
 class Officer final : public group::Part {
  public:
   using Note = std::function<void(const std::string& text)>;
-  // The crew outlives it: its signs of life and its lease are what a member's knowledge goes by.
-  Officer(const Wiring& wiring, const group::Config& config, works::Crew& crew, Note note);
+  // The coordinator outlives it: its signs of life and its lease are what a member's knowledge goes by.
+  Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator, Note note);
   ~Officer() override { wiring_.loop.cancel(turns_); }
   void attach(group::Member& member);
   void update();  // the lease may have come or gone
@@ -34,7 +34,7 @@
  private:
   Wiring wiring_;
   const group::Config config_;
-  works::Crew& crew_;
+  works::Coordinator& coordinator_;
   Note note_;
   group::Member* member_ = nullptr;
   Book book_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,18 +19,18 @@
     : wiring_(wiring),
       config_(config),
       lease_(config.terms, wiring.loop.now()),
-      crew_(wiring, config_, lease_, [this](const std::string& text) { note("works", text); }),
-      sharing_(wiring, config_, crew_, [this](const std::string& text) { note("shares", text); }),
-      officer_(wiring, config_, crew_, [this](const std::string& text) { note("compliance", text); }),
-      member_(wiring.loop, wiring.counters, config_, {&crew_, &sharing_, &officer_},
+      coordinator_(wiring, config_, lease_, [this](const std::string& text) { note("works", text); }),
+      sharing_(wiring, config_, coordinator_, [this](const std::string& text) { note("shares", text); }),
+      officer_(wiring, config_, coordinator_, [this](const std::string& text) { note("compliance", text); }),
+      member_(wiring.loop, wiring.counters, config_, {&coordinator_, &sharing_, &officer_},
               [this](const std::string& text) { note("works", text); }) {
   built_ = true;
-  crew_.attach(member_);
+  coordinator_.attach(member_);
   officer_.attach(member_);
-  crew_.when_changed([this] { follow(); });
+  coordinator_.when_changed([this] { follow(); });
   if (config_.view) {
     viewer_.emplace(
-        wiring, config_, member_, [this](const std::string& host) { return crew_.sees_down(host); },
+        wiring, config_, member_, [this](const std::string& host) { return coordinator_.sees_down(host); },
         [this](const std::string& text) { note("view", text); });
     sharing_.attach(member_);
     viewer_->when_changed([this] { follow(); });
@@ -42,14 +42,14 @@
 void Node::note(const std::string& part, const std::string& text) const {
   write_line(part, wiring_.loop.now(), config_.member,
              "term=" + std::to_string(built_ ? member_.term() : 0) +
-                 " index=" + std::to_string(crew_.board().index()) + ' ' + text);
+                 " index=" + std::to_string(coordinator_.board().index()) + ' ' + text);
 }
 
 // Parts and standing hang on the lease, on the log and on the view.
 void Node::follow() {
   officer_.update();
   if (!viewer_) return;
-  if (crew_.ready() && config_.serves) viewer_->serve();
+  if (coordinator_.ready() && config_.serves) viewer_->serve();
   sharing_.update(viewer_->seen());
 }
 
@@ -64,7 +64,7 @@
 
 // Danger: between the module's choice and the kernel a lease may have ended, or a revocation have come.
 bool Node::may_send(const std::string& host, const core::Call* call, std::uint64_t function) {
-  if (!crew_.may_send(host)) return false;
+  if (!coordinator_.may_send(host)) return false;
   if (officer_.book().empty()) return true;
   if (call != nullptr) return officer_.last_look(call->tenant, host);
   if (function == 0) return true;  // it only asks
@@ -86,7 +86,7 @@
 }
 
 void Node::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
-  crew_.attempt_ended(host, call, outcome);
+  coordinator_.attempt_ended(host, call, outcome);
 }
 
 std::optional<console::Said> Node::asked(const console::Request& request) {
@@ -100,11 +100,11 @@
     return console::Said{200, shown.dump()};
   }
   if (auto said = officer_.asked(request)) return said;
-  return crew_.asked(request);
+  return coordinator_.asked(request);
 }
 
 json Node::show_group() const {
-  const auto& board = crew_.board();
+  const auto& board = coordinator_.board();
   json members = json::object(), servers = json::array();
   for (const auto& [id, m] : board.members()) {
     members[id] = {{"life", m.life},
@@ -123,7 +123,7 @@
           {"leads", member_.leads()},
           {"index", board.index()},
           {"lease_ms", std::max(0.0, std::round((lease_.until() - wiring_.loop.now()).count()))},
-          {"failed", crew_.has_failed()},
+          {"failed", coordinator_.has_failed()},
           {"store_bytes", member_.stored()},
           {"servers", servers},
           {"members", members}};
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,7 +10,7 @@
 #include "group/member.h"
 #include "shares/sharing.h"
 #include "view/viewer.h"
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 namespace lotusyard::node {
 
@@ -18,7 +18,7 @@
  public:
   Node(const Wiring& wiring, const group::Config& config);
 
-  bool ready() const override { return crew_.ready(); }
+  bool ready() const override { return coordinator_.ready(); }
   bool may_send(const std::string& host, const core::Call* call, std::uint64_t function) override;
   robinfold::Gate* gate() override { return this; }
   bool open(const std::string& tenant, std::uint64_t function, const std::string& host) override;
@@ -26,7 +26,7 @@
   void drain() override {
     if (viewer_) viewer_->leave();
   }
-  void before_writes() override { crew_.before_writes(); }
+  void before_writes() override { coordinator_.before_writes(); }
   void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) override;
   std::optional<console::Said> asked(const console::Request& request) override;
 
@@ -35,7 +35,7 @@
   const group::Config config_;
   group::Lease lease_;
   bool built_ = false;
-  works::Crew crew_;
+  works::Coordinator coordinator_;
   shares::Sharing sharing_;
   compliance::Officer officer_;
   std::unordered_map<std::uint64_t, std::string> tenant_of_;  // by function: who asked for it last
--- a/src/shares/sharing.cpp
+++ b/src/shares/sharing.cpp
@@ -10,8 +10,13 @@
 
 }  // namespace
 
-Sharing::Sharing(const Wiring& wiring, const group::Config& config, works::Crew& crew, Note note)
-    : wiring_(wiring), config_(config), crew_(crew), note_(std::move(note)), parted_(wiring.loop.now()) {}
+Sharing::Sharing(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator,
+                 Note note)
+    : wiring_(wiring),
+      config_(config),
+      coordinator_(coordinator),
+      note_(std::move(note)),
+      parted_(wiring.loop.now()) {}
 
 void Sharing::attach(group::Member& member) {
   member_ = &member;
@@ -22,9 +27,9 @@
 void Sharing::turn() {
   const Millis now = wiring_.loop.now(), pace = config_.terms.beat() / 2;
   turns_ = wiring_.loop.at(now + pace, [this] { turn(); });
-  if (!crew_.leads() || now - proposed_ < pace * kAgain) return;
+  if (!coordinator_.leads() || now - proposed_ < pace * kAgain) return;
   std::map<std::string, Sign> signs;
-  for (const auto& [name, m] : crew_.board().members()) {
+  for (const auto& [name, m] : coordinator_.board().members()) {
     if (m.serves) signs[name] = {m.life, m.has, m.seen};
   }
   if (const auto entry = next(epochs_, signs, config_.terms, parted_, now)) {
@@ -36,8 +41,8 @@
   const auto entry = read_entry(text);
   if (!entry) {
     wiring_.counters.add("shares.unreadable");
-    return crew_.failed("entry " + std::to_string(index) +
-                        " of the log is of another version of the program");
+    return coordinator_.failed("entry " + std::to_string(index) +
+                               " of the log is of another version of the program");
   }
   proposed_ = Millis(0);
   if (!epochs_.apply(index, *entry)) return;
@@ -54,7 +59,7 @@
 void Sharing::update(std::size_t seen) {
   seen_ = seen;
   if (member_ == nullptr) return;
-  const double part = epochs_.part_of(config_.member, member_->life(), crew_.leased(), seen);
+  const double part = epochs_.part_of(config_.member, member_->life(), coordinator_.leased(), seen);
   if (part == part_) return;
   part_ = part;
   note_("part=" + std::to_string(part) + " round=" + std::to_string(epochs_.round()) +
--- a/src/shares/sharing.h
+++ b/src/shares/sharing.h
@@ -5,15 +5,15 @@
 #include "app/app.h"
 #include "group/member.h"
 #include "shares/epochs.h"
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 namespace lotusyard::shares {
 
 class Sharing final : public group::Part {
  public:
   using Note = std::function<void(const std::string& text)>;
-  // The crew outlives it: its signs of life and its lease are what parts go by.
-  Sharing(const Wiring& wiring, const group::Config& config, works::Crew& crew, Note note);
+  // The coordinator outlives it: its signs of life and its lease are what parts go by.
+  Sharing(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator, Note note);
   ~Sharing() override { wiring_.loop.cancel(turns_); }
   void attach(group::Member& member);
   void update(
@@ -33,7 +33,7 @@
  private:
   Wiring wiring_;
   const group::Config config_;
-  works::Crew& crew_;
+  works::Coordinator& coordinator_;
   Note note_;
   group::Member* member_ = nullptr;
   Epochs epochs_;
--- a/src/works/crew.cpp
+++ b/src/works/coordinator.cpp
@@ -1,4 +1,4 @@
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-Crew::Crew(const Wiring& wiring, const group::Config& config, group::Lease& lease, Note note)
+Coordinator::Coordinator(const Wiring& wiring, const group::Config& config, group::Lease& lease, Note note)
     : wiring_(wiring),
       config_(config),
       lease_(lease),
@@ -27,11 +27,11 @@
       order_(config.terms),
       counted_at_(wiring.loop.now()) {}
 
-Crew::~Crew() {
+Coordinator::~Coordinator() {
   for (const auto& timer : {beats_, turns_, lease_ends_}) wiring_.loop.cancel(timer);
 }
 
-void Crew::attach(group::Member& member) {
+void Coordinator::attach(group::Member& member) {
   member_ = &member;
   follow();
   beats_ = wiring_.loop.at(now(), [this] { beat(); });
@@ -40,18 +40,18 @@
 
 // ---- What this member uses ----
 
-bool Crew::may_send(const std::string& host) {
+bool Coordinator::may_send(const std::string& host) {
   before_writes();
   return !leaving_.left(host) && lease_.ever();
 }
 
 // Danger: a process that was stopped for longer than its lease goes on where it was, with calls decided and
 // not yet written.
-void Crew::before_writes() {
+void Coordinator::before_writes() {
   if (leased_ && !lease_.holds(now())) follow();
 }
 
-void Crew::follow() {
+void Coordinator::follow() {
   const bool leased = !failed_ && (lease_.holds(now()) || (breaks("lease") && lease_.ever()));
   if (leased != leased_) {
     note_(leased          ? "lease held"
@@ -74,7 +74,7 @@
   if (changed_) changed_();
 }
 
-void Crew::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
+void Coordinator::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
   using core::Outcome;
   if (outcome == Outcome::ok) {
     const auto* cls = core::class_named(wiring_.settings(), call.class_name);
@@ -84,7 +84,7 @@
   }
 }
 
-View Crew::view() {
+View Coordinator::view() {
   View out = leaving_.see(board_, watch_, wiring_.membership.hosts(), wiring_.membership.out(), now());
   const auto& counters = wiring_.counters;
   const double taken = static_cast<double>(counters.value("calls.taken"));
@@ -100,12 +100,12 @@
 
 // ---- What this member tells ----
 
-void Crew::tell(const json& word) {
+void Coordinator::tell(const json& word) {
   if (!member_->tell_leader(*this, word.dump(-1, ' ', false, json::error_handler_t::replace)))
     wiring_.counters.add("works.no_leader");
 }
 
-void Crew::beat() {
+void Coordinator::beat() {
   const Millis pace = config_.terms.beat();
   beats_ = wiring_.loop.at(now() + pace, [this] { beat(); });
   if (failed_ || !member_->in_group() || !config_.serves) return;
@@ -137,7 +137,7 @@
 
 // ---- What was agreed upon ----
 
-void Crew::applied(std::uint64_t index, const std::string& wording) {
+void Coordinator::applied(std::uint64_t index, const std::string& wording) {
   const auto entry = read_entry(wording);
   if (!entry) {
     wiring_.counters.add("works.unreadable");
@@ -168,7 +168,7 @@
   }
 }
 
-void Crew::note_entry(const Entry& e, const Board::Outcome& outcome) {
+void Coordinator::note_entry(const Entry& e, const Board::Outcome& outcome) {
   note_(std::string(name_of(e.kind)) + (outcome.done ? "" : " refused") +
         (e.work.empty() ? "" : " work=" + e.work) + (e.host.empty() ? "" : " host=" + e.host) +
         (e.added ? " work=" + e.added->id : "") + (e.member.empty() ? "" : " of=" + e.member) +
@@ -177,24 +177,24 @@
 }
 
 // It was taken for gone for good, and is not.
-void Crew::begin_anew() {
+void Coordinator::begin_anew() {
   try {
     lease_ = group::Lease(config_.terms, now());
     note_("life=" + std::to_string(member_->new_life()) + " starts: this member was said to be gone");
   } catch (const std::exception& fault) { failed(fault.what()); }
 }
 
-std::string Crew::snapshot() {
+std::string Coordinator::snapshot() {
   return board_.snapshot().dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-bool Crew::restore(const std::string& from) {
+bool Coordinator::restore(const std::string& from) {
   if (from.empty()) return true;
   const json read = json::parse(from, nullptr, false);
   return read.is_object() && board_.restore(read, now());
 }
 
-void Crew::failed(const std::string& why) {
+void Coordinator::failed(const std::string& why) {
   if (std::exchange(failed_, true)) return;
   std::cerr << "lotusyard: " << why << std::endl;
   lease_.lost();
@@ -203,7 +203,7 @@
 
 // ---- What operators ask ----
 
-std::optional<console::Said> Crew::asked(const console::Request& request) {
+std::optional<console::Said> Coordinator::asked(const console::Request& request) {
   const bool get = request.method == "GET", post = request.method == "POST";
   if (request.path == "/-/works")
     return get ? console::Said{200, shown_works(board_, name()).dump()} : console::Said{405, "GET"};
--- a/src/works/crew.h
+++ b/src/works/coordinator.h
@@ -15,12 +15,12 @@
 
 namespace lotusyard::works {
 
-class Crew final : public group::Part {
+class Coordinator final : public group::Part {
  public:
   using Note = std::function<void(const std::string& text)>;
   // `lease` outlives it.
-  Crew(const Wiring& wiring, const group::Config& config, group::Lease& lease, Note note);
-  ~Crew() override;
+  Coordinator(const Wiring& wiring, const group::Config& config, group::Lease& lease, Note note);
+  ~Coordinator() override;
   void attach(group::Member& member);  // once, before the loop's next turn
 
   bool ready() const { return !config_.serves || (lease_.ever() && !failed_); }
--- a/src/works/crew_leads.cpp
+++ b/src/works/coordinator_leads.cpp
@@ -1,6 +1,6 @@
 // What the one member that leads does for works: it gathers signs of life and proposes what the order says.
 #include "config/json_read.h"
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 namespace lotusyard::works {
 namespace {
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-void Crew::told(const std::string& word) {
+void Coordinator::told(const std::string& word) {
   const json read = json::parse(word, nullptr, false);
   if (!read.is_object()) return wiring_.counters.add("works.malformed");
   if (const auto& b = config::key(read, "b"); !b.is_null()) {
@@ -26,14 +26,14 @@
   if (!member_->propose(*this, worded(*entry))) wiring_.counters.add("works.not_proposed");
 }
 
-void Crew::told_beat(Beat&& beat) {
+void Coordinator::told_beat(Beat&& beat) {
   Beat& held = heard_[beat.member];
   // What was seen and is not in the log yet goes with the newer sign of life.
   if (!beat.view && held.view && held.life == beat.life) beat.view = std::move(held.view);
   held = std::move(beat);
 }
 
-bool Crew::leads() {
+bool Coordinator::leads() {
   if (!member_->leads()) return false;
   const std::uint64_t term = member_->term();
   if (led_term_ == term) return true;
@@ -51,14 +51,14 @@
   return false;
 }
 
-void Crew::propose(const Entry& entry) {
+void Coordinator::propose(const Entry& entry) {
   flown_at_ = now();
   in_flight_ = member_->propose(*this, worded(entry), [this, term = member_->term()](bool) {
     if (term == led_term_) in_flight_ = false;
   });
 }
 
-void Crew::turn() {
+void Coordinator::turn() {
   turns_ = wiring_.loop.at(now() + config_.terms.beat() / 2, [this] { turn(); });
   if (failed_ || !leads()) return;
   if (in_flight_ && now() - flown_at_ < kFlightMost) return;
--- a/tests/lotusyard/crews.h
+++ b/tests/lotusyard/cluster.h
@@ -89,7 +89,7 @@
   std::string body;
 };
 
-struct Crews {
+struct Cluster {
   struct Member {
     std::string name, listen, door, clients, config;
     std::unique_ptr<Relay> relay;
@@ -109,8 +109,8 @@
   double calls_at = 0;
   bool quiet = false;  // no calls
 
-  Crews(std::uint64_t seed, int count, int hosts, std::string broken = {}, int voters = 7, double lease = 600,
-        double election = 200, double view_period = 0)
+  Cluster(std::uint64_t seed, int count, int hosts, std::string broken = {}, int voters = 7,
+          double lease = 600, double election = 200, double view_period = 0)
       : random(seed), breaks(std::move(broken)) {
     while (world.host.size() < static_cast<std::size_t>(hosts))
       world.host.push_back(std::make_unique<StandInHost>(world.loop, world.pool));
--- a/tests/lotusyard/fleet_test.cpp
+++ b/tests/lotusyard/fleet_test.cpp
@@ -1,12 +1,12 @@
 // The fleet's view and the parts of what all may send cold hosts, at whole members: real processes with
 // stand-in hosts and clients, a relay among them that cuts, and kills and restarts.
-#include "crews.h"
+#include "cluster.h"
 
 namespace lotusyard::test {
 namespace {
 
-struct Fleet : Crews {
-  Fleet(std::uint64_t seed, int count) : Crews(seed, count, 4, {}, 7, 600, 200, 100) {}
+struct Fleet : Cluster {
+  Fleet(std::uint64_t seed, int count) : Cluster(seed, count, 4, {}, 7, 600, 200, 100) {}
 
   // The words of the lines of one part, in the order of time.
   struct Line {
@@ -148,7 +148,7 @@
   double again = 0;
   const bool agreed = fleet.soon([&] {
     if (fleet.world.loop.now().count() >= again) {
-      fleet.s.ask(fleet.members[0]->door, "POST", "/-/compliance/propose/" + Crews::escaped(what.dump()));
+      fleet.s.ask(fleet.members[0]->door, "POST", "/-/compliance/propose/" + Cluster::escaped(what.dump()));
       again = fleet.world.loop.now().count() + 500;
     }
     return std::all_of(fleet.members.begin(), fleet.members.end(), [&](const auto& m) {
--- a/tests/lotusyard/group_test.cpp
+++ b/tests/lotusyard/group_test.cpp
@@ -5,7 +5,7 @@
 
 #include <iostream>
 
-#include "crews.h"
+#include "cluster.h"
 #include "group/links.h"
 #include "group/part.h"
 #include "group/raft_wire.h"
@@ -228,70 +228,70 @@
 
 TEST_CASE("members settle a work among themselves and end it, with nothing wrong and no call lost",
           "[processes]") {
-  Crews crews(1, 3, 6);
-  const std::string broken = crews.run(0, 2);
-  INFO(crews.all_logs());
+  Cluster cluster(1, 3, 6);
+  const std::string broken = cluster.run(0, 2);
+  INFO(cluster.all_logs());
   REQUIRE(broken == "");
-  for (auto& m : crews.members) m->process->signal(SIGTERM);
-  for (auto& m : crews.members) {
-    REQUIRE(crews.s.until([&] { return m->process->status() >= 0; }));
+  for (auto& m : cluster.members) m->process->signal(SIGTERM);
+  for (auto& m : cluster.members) {
+    REQUIRE(cluster.s.until([&] { return m->process->status() >= 0; }));
     CHECK(m->process->status() == 0);
   }
 }
 
 TEST_CASE("members keep every rule of a work whoever is killed, stopped, cut off or reset", "[processes]") {
   for (const std::uint64_t seed : {11, 12}) {
-    Crews crews(seed, seed == 12 ? 5 : 3, 6);
-    const std::string broken = crews.run(6, 2);
-    INFO("seed " << seed << "\n" << crews.all_logs());
+    Cluster cluster(seed, seed == 12 ? 5 : 3, 6);
+    const std::string broken = cluster.run(6, 2);
+    INFO("seed " << seed << "\n" << cluster.all_logs());
     REQUIRE(broken == "");
   }
 }
 
 // One is cut off from the others once hosts have been named, and its clients go on.
-std::string with_one_cut_off(Crews& crews) {
-  Crews::Member& away = *crews.members[2];
+std::string with_one_cut_off(Cluster& cluster) {
+  Cluster::Member& away = *cluster.members[2];
   const auto touches = [&] {
     int out = 0;
-    for (const auto& h : works::read_timeline(crews.lines()).happenings) out += h.what == "touch";
+    for (const auto& h : works::read_timeline(cluster.lines()).happenings) out += h.what == "touch";
     return out;
   };
   double checked = 0;
   const auto touched = [&](int times) {
-    return crews.until(
+    return cluster.until(
         [&] {
-          if (crews.world.loop.now().count() < checked) return false;
-          checked = crews.world.loop.now().count() + 50;
+          if (cluster.world.loop.now().count() < checked) return false;
+          checked = cluster.world.loop.now().count() + 50;
           if (touches() >= times) return true;
-          crews.give_back(0);
+          cluster.give_back(0);
           return false;
         },
         20);
   };
-  REQUIRE(crews.until([&] { return crews.s.ask(away.door, "GET", "/-/ready") == 200; }, 20));
-  REQUIRE(crews.add("w", 1));
+  REQUIRE(cluster.until([&] { return cluster.s.ask(away.door, "GET", "/-/ready") == 200; }, 20));
+  REQUIRE(cluster.add("w", 1));
   REQUIRE(touched(1));
-  for (const auto& m : crews.members) {
+  for (const auto& m : cluster.members) {
     m->relay->cut.insert(away.name);
     away.relay->cut.insert(m->name);
   }
   for (int more = 2; more <= 3; ++more) {  // both that it knew to be named; each stays out for a while
     REQUIRE(touched(more));
-    const double until = crews.world.loop.now().count() + 1000;
-    crews.until([&] { return crews.world.loop.now().count() > until; }, 5);
+    const double until = cluster.world.loop.now().count() + 1000;
+    cluster.until([&] { return cluster.world.loop.now().count() > until; }, 5);
   }
-  return crews.broken_rule(1);
+  return cluster.broken_rule(1);
 }
 
 TEST_CASE(
     "a member that is cut off leaves hosts alone that may be taken, and the checker finds one that does not",
     "[processes]") {
-  Crews sound(31, 3, 6);
+  Cluster sound(31, 3, 6);
   const std::string kept = with_one_cut_off(sound);
   INFO(sound.all_logs());
   REQUIRE(kept == "");
   CHECK(sound.all_logs().find("the leases have run out of c") != std::string::npos);
-  Crews broken(31, 3, 6, "lease");
+  Cluster broken(31, 3, 6, "lease");
   CHECK_THAT(with_one_cut_off(broken), Catch::Contains("may be touched"));
 }
 
@@ -300,46 +300,46 @@
 TEST_CASE("the checker finds members that do not wait for their last calls", "[.][works-long]") {
   std::string found;
   for (std::uint64_t seed = 21; seed < 33 && found.find("may be touched") == std::string::npos; ++seed) {
-    Crews crews(seed, 3, 6, "drain");
-    found = crews.run(0, 2);
+    Cluster cluster(seed, 3, 6, "drain");
+    found = cluster.run(0, 2);
   }
   CHECK_THAT(found, Catch::Contains("may be touched"));
 }
 
 TEST_CASE("a member that has lost its store says so, comes in under another id, and votes again",
           "[processes]") {
-  Crews crews(41, 3, 4);
-  const auto ready = [&](Crews::Member& m) {
-    return crews.until([&] { return crews.s.ask(m.door, "GET", "/-/ready") == 200; }, 30);
+  Cluster cluster(41, 3, 4);
+  const auto ready = [&](Cluster::Member& m) {
+    return cluster.until([&] { return cluster.s.ask(m.door, "GET", "/-/ready") == 200; }, 30);
   };
-  REQUIRE(crews.all_ready(30));
-  const auto end = [&](Crews::Member& m) {
+  REQUIRE(cluster.all_ready(30));
+  const auto end = [&](Cluster::Member& m) {
     m.process->signal(SIGKILL);
-    REQUIRE(crews.s.until([&] { return m.process->status() >= 0; }));
+    REQUIRE(cluster.s.until([&] { return m.process->status() >= 0; }));
   };
-  Crews::Member& lost = *crews.members[2];
+  Cluster::Member& lost = *cluster.members[2];
   end(lost);
-  for (const char* part : {"", "-wal", "-shm"}) std::remove((crews.s.folder.path + "/c.db" + part).c_str());
-  crews.start(lost);
+  for (const char* part : {"", "-wal", "-shm"}) std::remove((cluster.s.folder.path + "/c.db" + part).c_str());
+  cluster.start(lost);
   const bool in = ready(lost);
-  INFO(crews.all_logs());
+  INFO(cluster.all_logs());
   REQUIRE(in);
   CHECK(lost.process->says("asks to be let in under another id"));
   CHECK(lost.process->says("is in as "));
   // With another one gone its vote is needed.
-  end(*crews.members[0]);
-  crews.members[0]->back_at = 1e18;
-  std::swap(crews.members[0], crews.members[1]);
-  REQUIRE(crews.add("w", 1));
-  crews.start(*crews.members[1]);
-  REQUIRE(crews.until([&] { return crews.done(); }, 0.1) == false);
-  REQUIRE(crews.until(
+  end(*cluster.members[0]);
+  cluster.members[0]->back_at = 1e18;
+  std::swap(cluster.members[0], cluster.members[1]);
+  REQUIRE(cluster.add("w", 1));
+  cluster.start(*cluster.members[1]);
+  REQUIRE(cluster.until([&] { return cluster.done(); }, 0.1) == false);
+  REQUIRE(cluster.until(
       [&] {
-        crews.give_back(0);
-        return crews.done();
+        cluster.give_back(0);
+        return cluster.done();
       },
       60));
-  CHECK(crews.broken_rule(1) == "");
+  CHECK(cluster.broken_rule(1) == "");
 }
 
 // By hand: LOTUSYARD_SEEDS=from-to.
@@ -349,11 +349,11 @@
   const int from = std::stoi(seeds), to = std::stoi(seeds.substr(seeds.find('-') + 1));
   int kept = 0;
   for (int seed = from; seed <= to; ++seed) {
-    Crews crews(static_cast<std::uint64_t>(seed), 3 + 2 * (seed % 3), 6);
-    const std::string broken = crews.run(4 + seed % 6, 1 + seed % 3);
-    INFO("seed " << seed << "\n" << crews.all_logs());
+    Cluster cluster(static_cast<std::uint64_t>(seed), 3 + 2 * (seed % 3), 6);
+    const std::string broken = cluster.run(4 + seed % 6, 1 + seed % 3);
+    INFO("seed " << seed << "\n" << cluster.all_logs());
     if (!broken.empty())
-      std::ofstream("works-seed-" + std::to_string(seed) + ".log") << broken << "\n" << crews.all_logs();
+      std::ofstream("works-seed-" + std::to_string(seed) + ".log") << broken << "\n" << cluster.all_logs();
     CHECK(broken == "");
     kept += broken.empty();
     std::cout << "seed " << seed << ' ' << (broken.empty() ? "kept" : broken) << std::endl;
--- a/tests/lotusyard/try_test.cpp
+++ b/tests/lotusyard/try_test.cpp
@@ -1,17 +1,17 @@
 // What `./try` shows: three members, hosts and clients on one machine, and a work that they settle.
 #include <iostream>
 
-#include "crews.h"
+#include "cluster.h"
 
 namespace lotusyard::test {
 namespace {
 
 TEST_CASE("three members take six hosts out and back, two at a time, while calls are served") {
-  Crews crews(7, 3, 6);
-  REQUIRE(crews.all_ready(20));
-  const std::string door = crews.members[1]->door;
+  Cluster cluster(7, 3, 6);
+  REQUIRE(cluster.all_ready(20));
+  const std::string door = cluster.members[1]->door;
   std::cout << "three members are in; their doors are at";
-  for (const auto& m : crews.members) std::cout << ' ' << m->door;
+  for (const auto& m : cluster.members) std::cout << ' ' << m->door;
   std::cout << "\n$ lotusyard_full works add kernel-update --at " << door << " --all --out 2 --wait"
             << std::endl;
   const pid_t child = fork();
@@ -23,27 +23,27 @@
   }
   int status = -1;
   double checked = 0;
-  const bool ended = crews.until(
+  const bool ended = cluster.until(
       [&] {
-        if (crews.world.loop.now().count() < checked) return false;
-        checked = crews.world.loop.now().count() + 100;
-        crews.give_back(700);  // whoever works on a machine takes as long
+        if (cluster.world.loop.now().count() < checked) return false;
+        checked = cluster.world.loop.now().count() + 100;
+        cluster.give_back(700);  // whoever works on a machine takes as long
         return waitpid(child, &status, WNOHANG) == child;
       },
       45);
   if (!ended) kill(child, SIGKILL);
   REQUIRE(ended);
   CHECK(WEXITSTATUS(status) == 0);
-  CHECK(crews.broken_rule(2) == "");
+  CHECK(cluster.broken_rule(2) == "");
   std::map<std::string, int> words;
-  for (const auto& m : crews.members) {
+  for (const auto& m : cluster.members) {
     for (const auto& [word, body] : m->tablet->got) ++words[word];
   }
   std::cout << "calls meanwhile:";
   for (const auto& [word, count] : words) std::cout << ' ' << count << ' ' << word;
   std::cout << "\n$ lotusyard_full works timeline *.log --svg works.svg" << std::endl;
   std::string command = std::string(LOTUSYARD_FULL) + " works timeline";
-  for (const auto& m : crews.members) command += ' ' + crews.log_of(*m);
+  for (const auto& m : cluster.members) command += ' ' + cluster.log_of(*m);
   CHECK(std::system((command + " --svg works.svg").c_str()) == 0);
   std::cout << "the chart is in works.svg" << std::endl;
 }
--- a/tests/lotusyard/works_measure.cpp
+++ b/tests/lotusyard/works_measure.cpp
@@ -3,7 +3,7 @@
 
 #include <iostream>
 
-#include "crews.h"
+#include "cluster.h"
 
 namespace lotusyard::test {
 namespace {
@@ -25,16 +25,16 @@
   return ticks * 1000 / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-double first(const Crews& crews, const std::string& what) {
-  for (const auto& h : works::read_timeline(crews.lines()).happenings) {
+double first(const Cluster& cluster, const std::string& what) {
+  for (const auto& h : works::read_timeline(cluster.lines()).happenings) {
     if (h.what == what) return h.at;
   }
   return 0;
 }
 
-std::map<std::string, int> answers(const Crews& crews) {
+std::map<std::string, int> answers(const Cluster& cluster) {
   std::map<std::string, int> out;
-  for (const auto& m : crews.members) {
+  for (const auto& m : cluster.members) {
     if (!m->tablet) continue;
     for (const auto& [word, body] : m->tablet->got) ++out[word];
   }
@@ -44,26 +44,26 @@
 TEST_CASE("how long a group takes", "[.][works-measure]") {
   std::vector<double> to_touch, after_death;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    Crews crews(seed, 3, 6);
-    REQUIRE(crews.all_ready(20));
-    REQUIRE(crews.add("w", 2));
-    REQUIRE(crews.until([&] { return first(crews, "touch") > 0; }, 20));
-    to_touch.push_back(first(crews, "touch") - first(crews, "add"));
+    Cluster cluster(seed, 3, 6);
+    REQUIRE(cluster.all_ready(20));
+    REQUIRE(cluster.add("w", 2));
+    REQUIRE(cluster.until([&] { return first(cluster, "touch") > 0; }, 20));
+    to_touch.push_back(first(cluster, "touch") - first(cluster, "add"));
     std::string leader;
-    for (const auto& line : crews.lines()) {
+    for (const auto& line : cluster.lines()) {
       if (line.find(" leads") != std::string::npos) leader = line.substr(line.find("member=") + 7, 1);
     }
-    Crews::Member* led = nullptr;
-    for (auto& m : crews.members) led = m->name == leader ? m.get() : led;
+    Cluster::Member* led = nullptr;
+    for (auto& m : cluster.members) led = m->name == leader ? m.get() : led;
     REQUIRE(led != nullptr);
-    const double died = crews.world.loop.now().count();
+    const double died = cluster.world.loop.now().count();
     led->process->signal(SIGKILL);
     led->back_at = died + 1e9;
     double next = 0;
-    crews.until(
+    cluster.until(
         [&] {
-          crews.give_back(0);
-          for (const auto& h : works::read_timeline(crews.lines()).happenings) {
+          cluster.give_back(0);
+          for (const auto& h : works::read_timeline(cluster.lines()).happenings) {
             if (next == 0 && h.at > died && (h.what == "returned" || h.what == "take")) next = h.at;
           }
           return next > 0;
@@ -81,18 +81,19 @@
   for (const std::string how : {"nothing", "work", "one", "all"}) {
     std::vector<double> lost, took;
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-      Crews crews(seed, 3, 6);
-      REQUIRE(crews.all_ready(20));
-      const double began = crews.world.loop.now().count();
+      Cluster cluster(seed, 3, 6);
+      REQUIRE(cluster.all_ready(20));
+      const double began = cluster.world.loop.now().count();
       const auto wait = [&](double ms) {
-        const double until = crews.world.loop.now().count() + ms;
-        crews.until([&] { return crews.world.loop.now().count() >= until; }, 30);
+        const double until = cluster.world.loop.now().count() + ms;
+        cluster.until([&] { return cluster.world.loop.now().count() >= until; }, 30);
       };
       const auto by_hand = [&](const std::string& verb, int host) {
-        for (auto& m : crews.members) crews.s.post(m->door, "/-/hosts/h" + std::to_string(host) + "/" + verb);
+        for (auto& m : cluster.members)
+          cluster.s.post(m->door, "/-/hosts/h" + std::to_string(host) + "/" + verb);
       };
       wait(1000);
-      const auto before = answers(crews);
+      const auto before = answers(cluster);
       if (how == "work") {
         nlohmann::json work = {{"t", "add"},
                                {"id", "x"},
@@ -100,12 +101,12 @@
                                 {{"id", "w"},
                                  {"select", {{"hosts", {"h0", "h1", "h2"}}}},
                                  {"bounds", {{"out", 1}, {"usable", 0.5}}}}}};
-        REQUIRE(crews.propose(*crews.members[0], work) == 202);
-        crews.until(
+        REQUIRE(cluster.propose(*cluster.members[0], work) == 202);
+        cluster.until(
             [&] {
-              crews.give_back(400);
+              cluster.give_back(400);
               int back = 0;
-              for (const auto& h : works::read_timeline(crews.lines()).happenings) back += h.what == "back";
+              for (const auto& h : works::read_timeline(cluster.lines()).happenings) back += h.what == "back";
               return back == 3;
             },
             40);
@@ -120,9 +121,9 @@
         wait(800);
         for (int host = 0; host < 3 && how == "all"; ++host) by_hand("enable", host);
       }
-      took.push_back(crews.world.loop.now().count() - began - 1000);
+      took.push_back(cluster.world.loop.now().count() - began - 1000);
       wait(1000);
-      auto after = answers(crews);
+      auto after = answers(cluster);
       double all = 0, served = 0;
       for (const auto& [word, count] : after) {
         const auto was = before.find(word);
@@ -140,26 +141,26 @@
 TEST_CASE("what a group costs at rest", "[.][works-measure]") {
   const char* given = std::getenv("LOTUSYARD_MEMBERS");
   const int count = given == nullptr ? 5 : std::atoi(given);
-  Crews crews(1, count, 6, {}, 5, 3000, 1000);
-  crews.quiet = true;
-  REQUIRE(crews.all_ready(60));
+  Cluster cluster(1, count, 6, {}, 5, 3000, 1000);
+  cluster.quiet = true;
+  REQUIRE(cluster.all_ready(60));
   const auto counters = [&](const std::string& name) {
     std::vector<double> out;
-    for (auto& m : crews.members) m->process->signal(SIGUSR1);
-    const double until = crews.world.loop.now().count() + 500;
-    crews.until([&] { return crews.world.loop.now().count() >= until; }, 5);
-    for (auto& m : crews.members) out.push_back(static_cast<double>(m->process->counter(name)));
+    for (auto& m : cluster.members) m->process->signal(SIGUSR1);
+    const double until = cluster.world.loop.now().count() + 500;
+    cluster.until([&] { return cluster.world.loop.now().count() >= until; }, 5);
+    for (auto& m : cluster.members) out.push_back(static_cast<double>(m->process->counter(name)));
     return out;
   };
   const auto sent = counters("group.sent");
   std::vector<double> used;
-  for (auto& m : crews.members) used.push_back(processor_ms(m->process->pid()));
-  const double began = crews.world.loop.now().count();
-  crews.until([&] { return crews.world.loop.now().count() >= began + 10000; }, 20);
-  const double seconds = (crews.world.loop.now().count() - began) / 1000;
+  for (auto& m : cluster.members) used.push_back(processor_ms(m->process->pid()));
+  const double began = cluster.world.loop.now().count();
+  cluster.until([&] { return cluster.world.loop.now().count() >= began + 10000; }, 20);
+  const double seconds = (cluster.world.loop.now().count() - began) / 1000;
   std::vector<double> processor, messages;
-  for (std::size_t i = 0; i < crews.members.size(); ++i)
-    processor.push_back((processor_ms(crews.members[i]->process->pid()) - used[i]) / seconds);
+  for (std::size_t i = 0; i < cluster.members.size(); ++i)
+    processor.push_back((processor_ms(cluster.members[i]->process->pid()) - used[i]) / seconds);
   const auto now_sent = counters("group.sent");
   for (std::size_t i = 0; i < sent.size(); ++i) messages.push_back((now_sent[i] - sent[i]) / (seconds + 0.5));
   print(std::to_string(count) + " members at rest, lease 3 s: processor ms a second, by member", processor);
