--- a/src/app/bounds.h
+++ b/src/app/bounds.h
@@ -4,11 +4,11 @@
 #include "amqp/front.h"
 #include "config/config.h"
 #include "hosts/fleet.h"
-#include "takeover/shares.h"
+#include "hot_restart/shares.h"
 
 namespace lotusyard {
 
-hosts::Limits host_limits(const config::Config& config, const takeover::Shares& shares);
+hosts::Limits host_limits(const config::Config& config, const hot_restart::Shares& shares);
 amqp::Broker broker_of(const config::AmqpConfig& from);
 
 }  // namespace lotusyard
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using core::Millis;
-using takeover::Standing;
+using hot_restart::Standing;
 
 constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
 
@@ -89,8 +89,8 @@
   dispatcher_.guard(nullptr);
 }
 
-takeover::Shares Invoker::shares() const {
-  return takeover::shares_of(config_->memory_mb, config_->sockets, standing_);
+hot_restart::Shares Invoker::shares() const {
+  return hot_restart::shares_of(config_->memory_mb, config_->sockets, standing_);
 }
 
 resp::Front::Limits Invoker::front_limits() const {
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -13,12 +13,12 @@
 #include "core/dispatcher.h"
 #include "discovery/discovery.h"
 #include "hosts/fleet.h"
+#include "hot_restart/presence.h"
+#include "hot_restart/shares.h"
 #include "membership/membership.h"
 #include "membership/out_files.h"
 #include "net/loop.h"
 #include "resp/front.h"
-#include "takeover/presence.h"
-#include "takeover/shares.h"
 #include "xds/hosts.h"
 
 namespace lotusyard {
@@ -37,8 +37,8 @@
   std::shared_ptr<const config::Config> config_;
   const std::string folder_;  // what outlives this process; empty: nothing does
   core::Counters counters_;
-  takeover::Presence presence_;
-  takeover::Standing standing_;
+  hot_restart::Presence presence_;
+  hot_restart::Standing standing_;
   net::BufferPool pool_;
   hosts::Fleet fleet_;
   core::Dispatcher dispatcher_;
@@ -56,7 +56,7 @@
 
   bool replaces() const { return config_->listen_fd >= 0; }  // processes take turns at one listener
   bool ending() const { return told_to_end_.count() > 0; }
-  takeover::Shares shares() const;
+  hot_restart::Shares shares() const;
   resp::Front::Limits front_limits() const;
   void follow_list();
   void listen();
@@ -64,7 +64,7 @@
   void open_door();
   void take_triggers(const StoreMaker& make_store);
   void look();  // at what another process of this invoker has done
-  void stand(takeover::Standing standing);
+  void stand(hot_restart::Standing standing);
   void reread();
   void begin_end();
   bool ended();
--- a/src/app/invoker_ends.cpp
+++ b/src/app/invoker_ends.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using core::Millis;
-using takeover::Standing;
+using hot_restart::Standing;
 
 constexpr Millis kComingFor{800};  // after SIGTERM connections and calls keep coming for at most 0.6 s
 constexpr Millis kListenFor{500};  // new connections for at most 0.4 s of these
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,9 +6,9 @@
 
 #include "config/json_read.h"
 #include "config/settings.h"
+#include "hot_restart/shares.h"
 #include "net/fields.h"
 #include "net/socket.h"
-#include "takeover/shares.h"
 
 namespace lotusyard::config {
 namespace {
@@ -234,9 +234,9 @@
   const json& limits = key(file, "limits");
   if (!limits.is_null() && !limits.is_object()) fault("limits", "an object is needed");
   out.memory_mb = static_cast<std::size_t>(
-      number_within(limits, "memory_mb", "limits.memory_mb", 192, takeover::least_memory_mb, 1e6));
+      number_within(limits, "memory_mb", "limits.memory_mb", 192, hot_restart::least_memory_mb, 1e6));
   out.sockets = static_cast<std::size_t>(
-      number_within(limits, "sockets", "limits.sockets", 1024, takeover::least_sockets, 1e6));
+      number_within(limits, "sockets", "limits.sockets", 1024, hot_restart::least_sockets, 1e6));
   const json& known = key(file, "known");
   if (!known.is_null()) {
     if (!key(known, "seq").is_number_unsigned()) fault("known.seq", "a whole number is needed");
--- a/src/takeover/presence.cpp
+++ b/src/hot_restart/presence.cpp
@@ -1,4 +1,4 @@
-#include "takeover/presence.h"
+#include "hot_restart/presence.h"
 
 #include <dirent.h>
 #include <fcntl.h>
@@ -8,7 +8,7 @@
 
 #include <memory>
 
-namespace lotusyard::takeover {
+namespace lotusyard::hot_restart {
 namespace {
 
 constexpr int kTries = 100;
@@ -54,4 +54,4 @@
   return lives;
 }
 
-}  // namespace lotusyard::takeover
+}  // namespace lotusyard::hot_restart
--- a/src/takeover/presence.h
+++ b/src/hot_restart/presence.h
@@ -6,7 +6,7 @@
 
 #include "net/socket.h"
 
-namespace lotusyard::takeover {
+namespace lotusyard::hot_restart {
 
 class Presence {
  public:
@@ -22,4 +22,4 @@
   net::Socket mine_;
 };
 
-}  // namespace lotusyard::takeover
+}  // namespace lotusyard::hot_restart
--- a/src/takeover/shares.cpp
+++ b/src/hot_restart/shares.cpp
@@ -1,8 +1,8 @@
-#include "takeover/shares.h"
+#include "hot_restart/shares.h"
 
 #include <algorithm>
 
-namespace lotusyard::takeover {
+namespace lotusyard::hot_restart {
 namespace {
 
 // Standard streams, two listeners, the change log, signals, the lock, a folder being read, and some to spare.
@@ -34,4 +34,4 @@
   return out;
 }
 
-}  // namespace lotusyard::takeover
+}  // namespace lotusyard::hot_restart
--- a/src/takeover/shares.h
+++ b/src/hot_restart/shares.h
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace lotusyard::takeover {
+namespace lotusyard::hot_restart {
 
 enum class Standing {
   alone,    // no other process of this invoker lives
@@ -27,4 +27,4 @@
 
 Shares shares_of(std::size_t memory_mb, std::size_t sockets, Standing standing);
 
-}  // namespace lotusyard::takeover
+}  // namespace lotusyard::hot_restart
--- a/tests/lotusyard/takeover_test.cpp
+++ b/tests/lotusyard/hot_restart_test.cpp
@@ -5,20 +5,20 @@
 #include <csignal>
 
 #include "helper.h"
-#include "takeover/presence.h"
-#include "takeover/shares.h"
+#include "hot_restart/presence.h"
+#include "hot_restart/shares.h"
 
 namespace lotusyard::test {
 namespace {
 
-using takeover::Standing;
+using hot_restart::Standing;
 
 TEST_CASE("what two processes may hold is no more than the limits of one") {
-  for (std::size_t sockets = takeover::least_sockets; sockets <= 4096; sockets += 7) {
-    for (std::size_t mb = takeover::least_memory_mb; mb <= 512; mb += 9) {
-      const auto alone = takeover::shares_of(mb, sockets, Standing::alone);
-      const auto beside = takeover::shares_of(mb, sockets, Standing::beside);
-      const auto leaving = takeover::shares_of(mb, sockets, Standing::leaving);
+  for (std::size_t sockets = hot_restart::least_sockets; sockets <= 4096; sockets += 7) {
+    for (std::size_t mb = hot_restart::least_memory_mb; mb <= 512; mb += 9) {
+      const auto alone = hot_restart::shares_of(mb, sockets, Standing::alone);
+      const auto beside = hot_restart::shares_of(mb, sockets, Standing::beside);
+      const auto leaving = hot_restart::shares_of(mb, sockets, Standing::leaving);
       REQUIRE(alone.descriptors() <= sockets);
       REQUIRE(beside.descriptors() * 2 <= sockets);
       REQUIRE(beside.descriptors() + leaving.descriptors() <= sockets);
@@ -49,17 +49,17 @@
   REQUIRE(mkdtemp(name) != nullptr);
   const std::string folder = std::string(name) + "/n0";
   {
-    takeover::Presence one(folder);
+    hot_restart::Presence one(folder);
     REQUIRE(one.known());
     CHECK_FALSE(one.other_lives());
     {
-      const takeover::Presence other(folder);
+      const hot_restart::Presence other(folder);
       CHECK((one.other_lives() && other.other_lives()));
     }
     CHECK_FALSE(one.other_lives());
     const pid_t killed = fork();
     if (killed == 0) {  // it leaves its file behind
-      static takeover::Presence child(folder);
+      static hot_restart::Presence child(folder);
       raise(child.known() ? SIGKILL : SIGTERM);
     }
     int status = 0;
@@ -69,7 +69,7 @@
   }
   CHECK(rmdir(folder.c_str()) == 0);  // nothing is left
   CHECK(rmdir(name) == 0);
-  CHECK_FALSE(takeover::Presence("/nowhere/at/all").known());
+  CHECK_FALSE(hot_restart::Presence("/nowhere/at/all").known());
 }
 
 TEST_CASE("only a listening TCP socket is adopted, and is left as it is for others") {
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -3,7 +3,7 @@
 
 #include <sys/socket.h>
 
-#include "takeover/shares.h"
+#include "hot_restart/shares.h"
 
 namespace lotusyard::test {
 namespace {
@@ -199,7 +199,7 @@
 
 TEST_CASE(
     "answers of 230,000 bytes reach clients that read a megabyte a second, at half of the least limits") {
-  const auto shares = takeover::shares_of(16, 128, takeover::Standing::alone);
+  const auto shares = hot_restart::shares_of(16, 128, hot_restart::Standing::alone);
   hosts::Limits host_limits = World::limits();
   host_limits.incoming = shares.incoming;
   host_limits.longest_answer = 256U << 10;
