--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using core::Millis;
-using takeover::Standing;
+using hot_restart::Standing;
 
 constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
 
@@ -89,8 +89,8 @@
   dispatcher_.guard(nullptr);
 }
 
-takeover::Shares Invoker::shares() const {
-  return takeover::shares_of(config_->memory_mb, config_->sockets, standing_);
+hot_restart::Shares Invoker::shares() const {
+  return hot_restart::shares_of(config_->memory_mb, config_->sockets, standing_);
 }
 
 resp::Front::Limits Invoker::front_limits() const {
@@ -104,10 +104,10 @@
 }
 
 void Invoker::follow_list() {
-  feed::Log log;
+  discovery::Log log;
   for (const auto& event : config_->known_events) {
     core::MemberList list;
-    if (log.event(event, list) != feed::Log::Read::news) continue;
+    if (log.event(event, list) != discovery::Log::Read::news) continue;
     membership_.list(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
   }
   log.skip_to(config_->known_seq);
@@ -120,8 +120,8 @@
     std::string fault;
     if (!host_file_->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
   } else {
-    feed_.emplace(loop_, pool_, counters_, config_->changelog, log, told_later);
-    feed_->start();
+    discovery_.emplace(loop_, pool_, counters_, config_->changelog, log, told_later);
+    discovery_->start();
   }
 }
 
@@ -208,7 +208,7 @@
     std::string fault;
     if (host_file_ && !host_file_->move(next->xds->file, next->xds->cluster, fault))
       throw config::ConfigError("configuration: xds.file: " + fault);
-    if (feed_) feed_->move(next->changelog);
+    if (discovery_) discovery_->move(next->changelog);
     const std::string differs = keep_what_needs_a_start(*config_, *next);
     if (!differs.empty()) std::cerr << "lotusyard: hold from the next start: " << differs << std::endl;
     config_ = next;
