--- a/src/app/app.h
+++ b/src/app/app.h
@@ -7,7 +7,7 @@
 
 #include "answers/store.h"
 #include "config/config.h"
-#include "console/door.h"
+#include "console/admin_endpoint.h"
 #include "core/counters.h"
 #include "core/dispatcher.h"
 #include "hosts/fleet.h"
@@ -44,7 +44,7 @@
   virtual void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) = 0;
   virtual void refused(const core::Call&) {}  // a call that never went out
   virtual void drain() {}  // the process has been told to end, and answers what it has taken
-  virtual std::optional<console::Said> asked(const console::Request& request) = 0;  // at the operators' door
+  virtual std::optional<console::Said> asked(const console::Request& request) = 0;  // at the admin endpoint
 };
 using CompanionMaker = std::function<std::unique_ptr<Companion>(const Wiring&, const nlohmann::json& file)>;
 
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -78,7 +78,7 @@
   follow_list();
   listen();
   take_triggers(make_store);
-  open_door();
+  open_admin_endpoint();
 }
 
 Invoker::~Invoker() {
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -9,7 +9,7 @@
 #include "app/app.h"
 #include "app/signals.h"
 #include "config/config.h"
-#include "console/door.h"
+#include "console/admin_endpoint.h"
 #include "core/dispatcher.h"
 #include "discovery/discovery.h"
 #include "hosts/fleet.h"
@@ -50,7 +50,7 @@
   std::unique_ptr<answers::Store> store_;
   std::optional<amqp::Front> triggers_;
   std::unique_ptr<Companion> companion_;
-  std::optional<console::Door> door_;
+  std::optional<console::AdminEndpoint> admin_endpoint_;
   net::Loop::TimerId look_{};
   core::Millis told_to_end_{0};
 
@@ -61,7 +61,7 @@
   void follow_list();
   void listen();
   void join_companion(const CompanionMaker& make_companion);
-  void open_door();
+  void open_admin_endpoint();
   void take_triggers(const StoreMaker& make_store);
   void look();  // at what another process of this invoker has done
   void stand(hot_restart::Standing standing);
--- a/src/app/invoker_door.cpp
+++ b/src/app/invoker_admin_endpoint.cpp
@@ -5,10 +5,10 @@
 
 namespace lotusyard {
 
-void Invoker::open_door() {
+void Invoker::open_admin_endpoint() {
   if (config_->console.empty()) return;
-  door_.emplace(loop_, counters_, static_cast<console::Operations&>(*this), shares().callers);
-  if (!door_->listen(config_->console)) {
+  admin_endpoint_.emplace(loop_, counters_, static_cast<console::Operations&>(*this), shares().callers);
+  if (!admin_endpoint_->listen(config_->console)) {
     throw config::ConfigError("configuration: console: cannot listen on " + config_->console);
   }
   std::cout << "lotusyard " << config_->name << " is operated at " << config_->console << std::endl;
--- a/src/app/invoker_ends.cpp
+++ b/src/app/invoker_ends.cpp
@@ -51,7 +51,8 @@
     quiet = quiet && since > kComingFor;
   }
   if (since > latest + kWriteFor) return true;
-  if (!quiet || (triggers_ && !triggers_->done()) || (door_ && !door_->quiet())) return false;
+  if (!quiet || (triggers_ && !triggers_->done()) || (admin_endpoint_ && !admin_endpoint_->quiet()))
+    return false;
   // What clients have sent by now is read and answered before the end; to be refused is harmless.
   front_.answer_all();
   return !front_.read_what_came() && front_.written();
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -39,7 +39,7 @@
 
 struct Config {
   std::string name, listen, changelog;  // listen: empty where only triggers bring calls
-  std::string console;                  // the operators' door; empty: none
+  std::string console;                  // the admin endpoint; empty: none
   int listen_fd = -1;                   // a listening socket that the platform holds; -1: none
   std::optional<AmqpConfig> amqp;
   std::optional<XdsConfig> xds;
--- a/src/console/door.cpp
+++ b/src/console/admin_endpoint.cpp
@@ -1,4 +1,4 @@
-#include "console/door.h"
+#include "console/admin_endpoint.h"
 
 #include <algorithm>
 
@@ -31,10 +31,11 @@
 
 }  // namespace
 
-class Door::Caller final : public net::Stream {
+class AdminEndpoint::Caller final : public net::Stream {
  public:
-  Caller(Door& door, net::Socket socket)
-      : Stream(door.loop_, door.pool_, std::move(socket), false, net::Loop::Rank::urgent), door_(door) {
+  Caller(AdminEndpoint& admin_endpoint, net::Socket socket)
+      : Stream(admin_endpoint.loop_, admin_endpoint.pool_, std::move(socket), false, net::Loop::Rank::urgent),
+        admin_endpoint_(admin_endpoint) {
     // Danger: half a call would hold its place for good.
     whole_by_ =
         loop().at(loop().now() + kWholeMost, [this] { turn_away(408, "the call did not come whole"); });
@@ -45,7 +46,7 @@
 
   void turn_away(int status, const std::string& why) {
     if (answered_) return end_later();
-    door_.counters_.add("console.faulty." + std::to_string(status));
+    admin_endpoint_.counters_.add("console.faulty." + std::to_string(status));
     answer(status, why);
   }
   void answer(int status, const std::string& text, const std::string& more_headers = {}) {
@@ -60,7 +61,7 @@
   }
 
  private:
-  Door& door_;
+  AdminEndpoint& admin_endpoint_;
   Parser parser_;
   net::Loop::TimerId whole_by_{};
   bool answered_ = false;
@@ -68,7 +69,7 @@
   void received(std::string_view bytes) override {
     if (answered_) return;  // one call to a connection: what comes behind it is read and left
     const auto state = parser_.take(bytes);
-    if (state == Parser::State::whole) return door_.serve(*this, parser_.request());
+    if (state == Parser::State::whole) return admin_endpoint_.serve(*this, parser_.request());
     if (state == Parser::State::faulty) return turn_away(parser_.fault(), "the call cannot be read");
     if (!parser_.wants_continue()) return;
     parser_.continued();
@@ -76,27 +77,28 @@
   }
   void ended() override {
     loop().cancel(whole_by_);
-    door_.gone(*this);
+    admin_endpoint_.gone(*this);
   }
 };
 
-Door::Door(net::Loop& loop, core::Counters& counters, Operations& operations, std::size_t callers)
+AdminEndpoint::AdminEndpoint(net::Loop& loop, core::Counters& counters, Operations& operations,
+                             std::size_t callers)
     : loop_(loop), counters_(counters), operations_(operations), most_(callers), pool_(callers + 1) {}
 
-Door::~Door() {
+AdminEndpoint::~AdminEndpoint() {
   loop_.cancel(again_);
   if (listener_) loop_.forget(listener_.fd(), *this);
 }
 
-bool Door::listen(const std::string& address) {
+bool AdminEndpoint::listen(const std::string& address) {
   listener_ = net::listen_on(address);
   if (listener_) watch();
   return static_cast<bool>(listener_);
 }
 
-void Door::watch() { loop_.watch(listener_.fd(), *this, POLLIN, net::Loop::Rank::urgent); }
+void AdminEndpoint::watch() { loop_.watch(listener_.fd(), *this, POLLIN, net::Loop::Rank::urgent); }
 
-void Door::ready(short) {
+void AdminEndpoint::ready(short) {
   for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
     bool exhausted = false;
     net::Socket socket = net::accept_from(listener_, &exhausted);
@@ -124,7 +126,7 @@
   }
 }
 
-void Door::serve(Caller& caller, const Request& request) {
+void AdminEndpoint::serve(Caller& caller, const Request& request) {
   counters_.add("console.calls");
   const std::string& path = request.path;
   const auto other_method = [&](const char* allowed) {
@@ -158,7 +160,7 @@
   caller.answer(503, "this could not be kept, so nothing has changed");
 }
 
-void Door::gone(Caller& caller) {
+void AdminEndpoint::gone(Caller& caller) {
   loop_.bury(*caller.place);
   callers_.erase(caller.place);
 }
--- a/src/console/door.h
+++ b/src/console/admin_endpoint.h
@@ -1,4 +1,4 @@
-// The operators' door: HTTP/1.1, one call to a connection. It reads calls and words answers, and decides
+// The admin endpoint: HTTP/1.1, one call to a connection. It reads calls and words answers, and decides
 // nothing: what a call means is up to its Operations.
 #pragma once
 
@@ -30,10 +30,10 @@
   virtual std::optional<Said> other(const Request&) { return std::nullopt; }  // nothing: no such call
 };
 
-class Door final : private net::Handler {
+class AdminEndpoint final : private net::Handler {
  public:
-  Door(net::Loop& loop, core::Counters& counters, Operations& operations, std::size_t callers);
-  ~Door() override;
+  AdminEndpoint(net::Loop& loop, core::Counters& counters, Operations& operations, std::size_t callers);
+  ~AdminEndpoint() override;
   bool listen(const std::string& address);
   std::string address() const { return net::bound_address(listener_); }
   bool quiet() const { return callers_.empty(); }  // nobody waits for an answer
--- a/src/full/operate.cpp
+++ b/src/full/operate.cpp
@@ -27,7 +27,7 @@
 using nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
-constexpr int kAnswerMs = 3000;  // a door answers at once
+constexpr int kAnswerMs = 3000;  // an admin endpoint answers at once
 constexpr int kAgainMs = 1000;   // a proposal that nothing is known of is sent again: it holds once
 constexpr std::size_t kLongestAnswer = 16U << 20;
 
--- a/src/full/operate.h
+++ b/src/full/operate.h
@@ -1,4 +1,4 @@
-// The operators' sub-commands: they ask a running member through its door and print what it says.
+// The operators' sub-commands: they ask a running member through its admin endpoint and print what it says.
 #pragma once
 
 #include <CLI/CLI.hpp>
--- a/src/hot_restart/shares.h
+++ b/src/hot_restart/shares.h
@@ -15,7 +15,7 @@
 struct Shares {
   std::size_t clients = 0, newcomers = 0;  // connections that have asked something, and not yet
   std::size_t links = 0;                   // connections to hosts
-  std::size_t callers = 0;                 // of the operators' door
+  std::size_t callers = 0;                 // of the admin endpoint
   std::size_t unwritten = 0;               // bytes that wait to be written
   std::size_t bodies = 0;                  // bytes of open calls
   std::size_t incoming = 0;                // bytes of answers that are not whole yet
--- a/src/view/swim.cpp
+++ b/src/view/swim.cpp
@@ -16,10 +16,10 @@
   return names[static_cast<std::size_t>(standing)];
 }
 
-Swim::Swim(Peer self, std::vector<std::string> doors, Pace pace, std::uint64_t seed, Millis now)
+Swim::Swim(Peer self, std::vector<std::string> seed_addresses, Pace pace, std::uint64_t seed, Millis now)
     : pace_(pace),
       self_(std::move(self)),
-      doors_(std::move(doors)),
+      seed_addresses_(std::move(seed_addresses)),
       random_(seed),
       roll_(pace_),
       ticked_(now),
@@ -116,9 +116,9 @@
   return {};
 }
 
-// Full exchanges: with one that is here now and then, and more often with one that is not, or a door that
-// nobody is known behind. Danger: each part of a fleet that was cut apart takes the other for dead, and asks
-// nobody there.
+// Full exchanges: with one that is here now and then, and more often with one that is not, or a seed address
+// that nobody is known behind. Danger: each part of a fleet that was cut apart takes the other for dead, and
+// asks nobody there.
 void Swim::ask_for_all() {
   const auto some_here = some(1, {});
   const auto turn = [this](int every) { return periods_ % every == static_cast<int>(self_.life % every); };
@@ -127,7 +127,7 @@
   if (!some_here.empty() && (turn(pace_.exchange_every) || much || periods_ <= 2))
     send(some_here[0]->address, Message::Kind::exchange, 0, {});
   if (!some_here.empty() && !turn(pace_.dead_every)) return;
-  std::vector<std::string> places = doors_;
+  std::vector<std::string> places = seed_addresses_;
   for (const auto& [name, known] : roll_.all()) {
     if (here(known.peer.standing))
       places.erase(std::remove(places.begin(), places.end(), known.peer.address), places.end());
--- a/src/view/swim.h
+++ b/src/view/swim.h
@@ -26,8 +26,8 @@
   struct Counts {
     std::uint64_t refuted = 0, suspected = 0, died = 0, stalls = 0, refused = 0;
   };
-  // `doors`: addresses at which others may be found.
-  Swim(Peer self, std::vector<std::string> doors, Pace pace, std::uint64_t seed, Millis now);
+  // `seed_addresses`: addresses at which others may be found.
+  Swim(Peer self, std::vector<std::string> seed_addresses, Pace pace, std::uint64_t seed, Millis now);
 
   void tick(Millis now);
   Millis due() const;  // when `tick` wants to be called, at the latest
@@ -62,7 +62,7 @@
   };
   Pace pace_;
   Peer self_;
-  std::vector<std::string> doors_;
+  std::vector<std::string> seed_addresses_;
   std::mt19937_64 random_;
   Roll roll_;
   Facts facts_;
--- a/src/view/viewer.cpp
+++ b/src/view/viewer.cpp
@@ -32,12 +32,12 @@
     turns_ = wiring_.loop.at(now + kBeginPace, [this] { begin(); });
     return;
   }
-  std::vector<std::string> doors;
-  for (const auto& peer : config_.members) doors.push_back(peer.address);
+  std::vector<std::string> seed_addresses;
+  for (const auto& peer : config_.members) seed_addresses.push_back(peer.address);
   Pace pace;
   pace.period = *config_.view;
   life_ = member_.life();
-  swim_.emplace(Peer{config_.member, config_.address, life_, 0, Standing::joining, {}}, doors, pace,
+  swim_.emplace(Peer{config_.member, config_.address, life_, 0, Standing::joining, {}}, seed_addresses, pace,
                 std::random_device{}(), now);
   if (serves_) swim_->serve(now);
   turn();
--- a/src/works/door.cpp
+++ b/src/works/admin_endpoint.cpp
@@ -1,4 +1,4 @@
-#include "works/door.h"
+#include "works/admin_endpoint.h"
 
 #include <algorithm>
 
--- a/src/works/door.h
+++ b/src/works/admin_endpoint.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "console/door.h"
+#include "console/admin_endpoint.h"
 #include "core/member.h"
 #include "works/board.h"
 
--- a/src/works/coordinator.cpp
+++ b/src/works/coordinator.cpp
@@ -6,7 +6,7 @@
 
 #include "config/json_read.h"
 #include "core/breaks.h"
-#include "works/door.h"
+#include "works/admin_endpoint.h"
 
 namespace lotusyard::works {
 namespace {
--- a/tests/lotusyard/cluster.h
+++ b/tests/lotusyard/cluster.h
@@ -91,7 +91,7 @@
 
 struct Cluster {
   struct Member {
-    std::string name, listen, door, clients, config;
+    std::string name, listen, admin_endpoint, clients, config;
     std::unique_ptr<Relay> relay;
     std::unique_ptr<Process> process;
     std::shared_ptr<Tablet> tablet;
@@ -135,7 +135,7 @@
       auto m = std::make_unique<Member>();
       m->name = i < 26 ? std::string(1, static_cast<char>('a' + i)) : "m" + std::to_string(i);
       m->listen = free_address();
-      m->door = free_address();
+      m->admin_endpoint = free_address();
       m->clients = free_address();
       m->config = s.folder.path + "/" + m->name + ".json";
       m->relay = std::make_unique<Relay>(world, m->listen);
@@ -145,7 +145,7 @@
     for (auto& m : members) {
       auto file = platform_file(m->clients, s.log.server.address());
       file["name"] = m->name;
-      file["console"] = m->door;
+      file["console"] = m->admin_endpoint;
       file["settings"]["Balancers"] = count;
       file["settings"]["Classes"][0]["HardLimit"] = 400;
       file["settings"]["Classes"][1]["HardLimit"] = 400;
@@ -210,7 +210,7 @@
     return done();
   }
   bool all_ready(double seconds) {
-    const auto ready = [this](const auto& m) { return s.ask(m->door, "GET", "/-/ready") == 200; };
+    const auto ready = [this](const auto& m) { return s.ask(m->admin_endpoint, "GET", "/-/ready") == 200; };
     return until([&] { return std::all_of(members.begin(), members.end(), ready); }, seconds);
   }
   void disturb() {
@@ -270,7 +270,7 @@
     }
   }
   int propose(Member& m, const nlohmann::json& what) {
-    return s.ask(m.door, "POST", "/-/works/propose/" + escaped(what.dump()));
+    return s.ask(m.admin_endpoint, "POST", "/-/works/propose/" + escaped(what.dump()));
   }
   static std::string escaped(const std::string& text) {
     std::string out;
@@ -347,7 +347,7 @@
   }
   // One work over all hosts, with as many disturbances; what is broken, else empty.
   std::string run(int disturbances, int most_out) {
-    REQUIRE(until([&] { return s.ask(members[0]->door, "GET", "/-/ready") == 200; }, 20));
+    REQUIRE(until([&] { return s.ask(members[0]->admin_endpoint, "GET", "/-/ready") == 200; }, 20));
     REQUIRE(add("w", most_out));
     for (int i = 0; i < disturbances; ++i) {
       const double next = world.loop.now().count() + 100 + static_cast<double>(below(random, 500));
--- a/tests/lotusyard/console_test.cpp
+++ b/tests/lotusyard/console_test.cpp
@@ -1,7 +1,7 @@
-// The operators' door: its parser, and its answers while others crowd it.
+// The admin endpoint: its parser, and its answers while others crowd it.
 #include <unistd.h>
 
-#include "console/door.h"
+#include "console/admin_endpoint.h"
 #include "helper.h"
 
 namespace lotusyard::test {
@@ -27,7 +27,7 @@
 }
 const std::string host = "Host: x\r\n";
 
-TEST_CASE("a call to the operators' door reads the same however it is cut") {
+TEST_CASE("a call to the admin endpoint reads the same however it is cut") {
   Random random(5);
   const std::vector<std::string> calls = {
       "POST /-/hosts/s-1/disable HTTP/1.1\r\n" + host + "\r\n",
@@ -78,7 +78,7 @@
   }
 }
 
-TEST_CASE("garbage at the operators' door is survived, and never grows") {
+TEST_CASE("garbage at the admin endpoint is survived, and never grows") {
   Random random(7);
   for (int i = 0; i < 3000; ++i) {
     std::string bytes = garbage(random, "GET POST/-hosts%2: \r\n0123456789HTTP.Content-Length");
@@ -128,11 +128,11 @@
 struct Desk {
   World world{0};
   Office office;
-  console::Door door;
-  explicit Desk(std::size_t callers = 4) : door(world.loop, world.counters, office, callers) {
-    REQUIRE(door.listen("127.0.0.1:0"));
+  console::AdminEndpoint admin_endpoint;
+  explicit Desk(std::size_t callers = 4) : admin_endpoint(world.loop, world.counters, office, callers) {
+    REQUIRE(admin_endpoint.listen("127.0.0.1:0"));
   }
-  int ask(const std::string& bytes) { return Call(world, door.address(), bytes).status(); }
+  int ask(const std::string& bytes) { return Call(world, admin_endpoint.address(), bytes).status(); }
 };
 
 TEST_CASE("the operators' calls are answered by path, method and host") {
@@ -142,7 +142,7 @@
   CHECK(desk.ask(get("/-/ready")) == 503);
   CHECK(desk.ask(post("/-/ready")) == 405);
   CHECK(desk.ask(get("/-/hosts/s-1/disable")) == 405);
-  Call wrong(desk.world, desk.door.address(), get("/-/hosts/s-1/enable"));
+  Call wrong(desk.world, desk.admin_endpoint.address(), get("/-/hosts/s-1/enable"));
   CHECK(wrong.status() == 405);
   CHECK(wrong.got.find("\r\nAllow: POST\r\n") != std::string::npos);
   for (const char* path :
@@ -161,14 +161,14 @@
   Desk desk(3);
   std::list<Call> halves;
   for (int i = 0; i < 30; ++i) {
-    halves.emplace_back(desk.world, desk.door.address(), i % 2 == 0 ? "" : "GET /-/rea");
+    halves.emplace_back(desk.world, desk.admin_endpoint.address(), i % 2 == 0 ? "" : "GET /-/rea");
     if (i % 3 == 0) CHECK(desk.ask(get("/-/ready")) == 200);
   }
   REQUIRE(desk.world.turn_until(
       [&] { return std::all_of(halves.begin(), halves.end(), [](const auto& c) { return c.closed; }); }));
   const auto timed_out = [](const auto& c) { return c.got.compare(0, 12, "HTTP/1.1 408") == 0; };
   CHECK(std::count_if(halves.begin(), halves.end(), timed_out) == 30);
-  CHECK(desk.world.turn_until([&] { return desk.door.quiet(); }));
+  CHECK(desk.world.turn_until([&] { return desk.admin_endpoint.quiet(); }));
 }
 
 // A peer that always has something to read, and takes its time with it.
@@ -181,7 +181,7 @@
   std::function<void()> work_;
 };
 
-TEST_CASE("the door is served ahead of a crowd, and again in the midst of a long turn") {
+TEST_CASE("the admin endpoint is served ahead of a crowd, and again in the midst of a long turn") {
   Desk desk;
   int pipes[2];
   REQUIRE(pipe(pipes) == 0);
@@ -195,7 +195,7 @@
     ends.emplace_back(dup(reads.fd()));
     crowd.push_back(std::make_unique<Slow>([&, i] {
       if (i == 0 && ++turns_begun == 1) {  // the call comes once the turn is under way
-        call = std::make_unique<Call>(desk.world, desk.door.address(), get("/-/ready"));
+        call = std::make_unique<Call>(desk.world, desk.admin_endpoint.address(), get("/-/ready"));
         call->ready(POLLOUT);
         call->flush_now();
       }
--- a/tests/lotusyard/fleet_test.cpp
+++ b/tests/lotusyard/fleet_test.cpp
@@ -148,11 +148,13 @@
   double again = 0;
   const bool agreed = fleet.soon([&] {
     if (fleet.world.loop.now().count() >= again) {
-      fleet.s.ask(fleet.members[0]->door, "POST", "/-/compliance/propose/" + Cluster::escaped(what.dump()));
+      fleet.s.ask(fleet.members[0]->admin_endpoint, "POST",
+                  "/-/compliance/propose/" + Cluster::escaped(what.dump()));
       again = fleet.world.loop.now().count() + 500;
     }
     return std::all_of(fleet.members.begin(), fleet.members.end(), [&](const auto& m) {
-      return but.count(m->name) != 0 || fleet.s.ask(m->door, "GET", "/-/compliance/outcome/" + id) == 200;
+      return but.count(m->name) != 0 ||
+             fleet.s.ask(m->admin_endpoint, "GET", "/-/compliance/outcome/" + id) == 200;
     });
   });
   INFO(fleet.all_logs());
--- a/tests/lotusyard/group_test.cpp
+++ b/tests/lotusyard/group_test.cpp
@@ -268,7 +268,7 @@
         },
         20);
   };
-  REQUIRE(cluster.until([&] { return cluster.s.ask(away.door, "GET", "/-/ready") == 200; }, 20));
+  REQUIRE(cluster.until([&] { return cluster.s.ask(away.admin_endpoint, "GET", "/-/ready") == 200; }, 20));
   REQUIRE(cluster.add("w", 1));
   REQUIRE(touched(1));
   for (const auto& m : cluster.members) {
@@ -310,7 +310,7 @@
           "[processes]") {
   Cluster cluster(41, 3, 4);
   const auto ready = [&](Cluster::Member& m) {
-    return cluster.until([&] { return cluster.s.ask(m.door, "GET", "/-/ready") == 200; }, 30);
+    return cluster.until([&] { return cluster.s.ask(m.admin_endpoint, "GET", "/-/ready") == 200; }, 30);
   };
   REQUIRE(cluster.all_ready(30));
   const auto end = [&](Cluster::Member& m) {
--- a/tests/lotusyard/service.h
+++ b/tests/lotusyard/service.h
@@ -128,7 +128,7 @@
     }
     return false;
   }
-  // The status of an answer at the operators' door; 0 if nobody opens.
+  // The status of an answer at the admin endpoint; 0 if nobody opens.
   int ask(const std::string& console, const std::string& method, const std::string& path) {
     class Call final : public net::Stream {
      public:
--- a/tests/lotusyard/service_test.cpp
+++ b/tests/lotusyard/service_test.cpp
@@ -1,4 +1,4 @@
-// Whole processes in service: the operators' door, hosts out by hand, settings at SIGHUP and replacement,
+// Whole processes in service: the admin endpoint, hosts out by hand, settings at SIGHUP and replacement,
 // with stand-in hosts, a stand-in change log and clients on loopback.
 #include <netinet/in.h>
 
@@ -113,7 +113,7 @@
   std::vector<Millis> next_call(tablets.size());
   std::set<std::string> crossed;  // bodies of calls whose connection ended with no answer
   Random random(3);
-  int number = 0, upgrades = 0, answered = 0, refused_at_door = 0;
+  int number = 0, upgrades = 0, answered = 0, refused_connections = 0;
   bool under_way = false;
   Millis next_step{s.world.loop.now() + Millis(300)};
   while (upgrades < 3 || under_way) {
@@ -122,7 +122,7 @@
     for (std::size_t i = 0; i < tablets.size(); ++i) {
       auto& tablet = tablets[i];
       if (tablet && tablet->closed) {
-        if (tablet->open.empty() && tablet->asked_at.count() == 0) ++refused_at_door;
+        if (tablet->open.empty() && tablet->asked_at.count() == 0) ++refused_connections;
         for (const auto& call : tablet->open) crossed.insert(call.second);
         tablet.reset();
       }
@@ -156,7 +156,7 @@
   }
   INFO("answered " << answered << ", crossed " << crossed.size());
   CHECK(answered > 50);
-  CHECK(refused_at_door == 0);
+  CHECK(refused_connections == 0);
   for (const auto& body : crossed) CHECK(s.runs(body) == 0);  // it may be sent once more
   for (int i = 2; i <= number; i += 2) CHECK(s.runs(std::to_string(i)) <= 1);
 }
--- a/tests/lotusyard/try_test.cpp
+++ b/tests/lotusyard/try_test.cpp
@@ -9,16 +9,16 @@
 TEST_CASE("three members take six hosts out and back, two at a time, while calls are served") {
   Cluster cluster(7, 3, 6);
   REQUIRE(cluster.all_ready(20));
-  const std::string door = cluster.members[1]->door;
-  std::cout << "three members are in; their doors are at";
-  for (const auto& m : cluster.members) std::cout << ' ' << m->door;
-  std::cout << "\n$ lotusyard_full works add kernel-update --at " << door << " --all --out 2 --wait"
+  const std::string admin_endpoint = cluster.members[1]->admin_endpoint;
+  std::cout << "three members are in; their admin endpoints are at";
+  for (const auto& m : cluster.members) std::cout << ' ' << m->admin_endpoint;
+  std::cout << "\n$ lotusyard_full works add kernel-update --at " << admin_endpoint << " --all --out 2 --wait"
             << std::endl;
   const pid_t child = fork();
   REQUIRE(child >= 0);
   if (child == 0) {
-    execl(LOTUSYARD_FULL, "lotusyard_full", "works", "add", "kernel-update", "--at", door.c_str(), "--all",
-          "--out", "2", "--wait", nullptr);
+    execl(LOTUSYARD_FULL, "lotusyard_full", "works", "add", "kernel-update", "--at", admin_endpoint.c_str(),
+          "--all", "--out", "2", "--wait", nullptr);
     _exit(127);
   }
   int status = -1;
--- a/tests/lotusyard/view_net.h
+++ b/tests/lotusyard/view_net.h
@@ -60,11 +60,11 @@
   void start(std::size_t i, bool serves = true) {
     Node& n = nodes[i];
     n.life = std::max<std::uint64_t>(n.life + 1, 1);
-    std::vector<std::string> doors;
+    std::vector<std::string> seed_addresses;
     for (std::size_t k = 0; k < std::min<std::size_t>(nodes.size(), 3); ++k)
-      doors.push_back(nodes[k].address);
-    n.swim = std::make_unique<Swim>(Peer{n.name, n.address, n.life, 0, Standing::joining, {}}, doors, pace,
-                                    random(), Millis(now));
+      seed_addresses.push_back(nodes[k].address);
+    n.swim = std::make_unique<Swim>(Peer{n.name, n.address, n.life, 0, Standing::joining, {}}, seed_addresses,
+                                    pace, random(), Millis(now));
     n.due = now;
     if (serves) n.swim->serve(Millis(now));
     say(n.name + " starts");
--- a/tests/lotusyard/works_measure.cpp
+++ b/tests/lotusyard/works_measure.cpp
@@ -90,7 +90,7 @@
       };
       const auto by_hand = [&](const std::string& verb, int host) {
         for (auto& m : cluster.members)
-          cluster.s.post(m->door, "/-/hosts/h" + std::to_string(host) + "/" + verb);
+          cluster.s.post(m->admin_endpoint, "/-/hosts/h" + std::to_string(host) + "/" + verb);
       };
       wait(1000);
       const auto before = answers(cluster);
