--- a/src/view/rumours.h
+++ b/src/view/gossip.h
@@ -9,7 +9,7 @@
 
 namespace lotusyard::view {
 
-class Rumours {
+class Gossip {
  public:
   void spread(const std::string& key) { told_[key] = 0; }
   void forget(const std::string& key) { told_.erase(key); }
--- a/src/view/record.h
+++ b/src/view/record.h
@@ -17,7 +17,7 @@
 inline bool here(Standing s) { return s < Standing::dead; }
 
 // `life` is kept in the member's store and grows with each start; `round` counts, within a life, how often
-// the member has spoken against a rumour about itself. Only the member itself makes either grow.
+// the member has spoken against gossip about itself. Only the member itself makes either grow.
 struct Peer {
   std::string name, address;
   std::uint64_t life = 0, round = 0;
--- a/src/view/swim.h
+++ b/src/view/swim.h
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "view/facts.h"
+#include "view/gossip.h"
 #include "view/message.h"
 #include "view/pace.h"
 #include "view/roll.h"
-#include "view/rumours.h"
 
 namespace lotusyard::view {
 
@@ -66,7 +66,7 @@
   std::mt19937_64 random_;
   Roll roll_;
   Facts facts_;
-  Rumours peers_told_, facts_told_;
+  Gossip peers_told_, facts_told_;
   std::deque<std::string> turn_;  // whom to ask next
   Probe probe_;
   std::deque<Errand> errands_;
--- a/src/view/swim_hears.cpp
+++ b/src/view/swim_hears.cpp
@@ -1,4 +1,4 @@
-// What a member makes of what others say: answers, merges, and what it says against rumours about itself.
+// What a member makes of what others say: answers, merges, and what it says against gossip about itself.
 #include <algorithm>
 
 #include "core/breaks.h"
@@ -97,7 +97,7 @@
   for (const auto& fact : m.facts) take(fact);
   if (usurped_) return;
   // Whoever spoke ill of this member hears at once that it is well, and so do some others: the fewer have to
-  // wait for a rumour, the fewer bury it.
+  // wait for gossip, the fewer bury it.
   if (self_.round > round) {
     if (m.kind != Message::Kind::ping) send(m.self.address, Message::Kind::nack, 0, {}, &self_);
     for (const Peer* other : some(2 * pace_.others, m.self.name))
@@ -109,17 +109,17 @@
 void Swim::answer(const Message& m, Millis now) {
   // It may not know what is said of it, and would not speak up: it is told with the answer.
   const Peer* them = roll_.find(m.self.name);
-  const Peer* rumour = them != nullptr && outdoes(*them, m.self) ? them : nullptr;
+  const Peer* gossip = them != nullptr && outdoes(*them, m.self) ? them : nullptr;
   const std::string& address = m.self.address;
   switch (m.kind) {
-    case Message::Kind::ping: return send(address, Message::Kind::ack, m.number, self_.name, rumour);
+    case Message::Kind::ping: return send(address, Message::Kind::ack, m.number, self_.name, gossip);
     case Message::Kind::exchange: return send(address, Message::Kind::reply, 0, {});
     case Message::Kind::reply: return;
     case Message::Kind::ask: {
       const Peer* about = roll_.find(m.about);
       if (about == nullptr || errands_.size() >= kErrandsMost) return;
       errands_.push_back({m.number, ++number_, address, m.about, now + pace_.period * 4});
-      send(address, Message::Kind::nack, m.number, m.about, rumour);
+      send(address, Message::Kind::nack, m.number, m.about, gossip);
       return send(about->address, Message::Kind::ping, number_, {}, about);
     }
     case Message::Kind::nack:
--- a/tests/lotusyard/view_test.cpp
+++ b/tests/lotusyard/view_test.cpp
@@ -136,7 +136,7 @@
   const auto before = net.changes;
   net.run(120000);
   for (const auto& n : net.nodes) CHECK(n.swim->roll().find("a")->standing != Standing::dead);
-  CHECK(net.changes - before < 8 * 8 * 4);  // nobody flaps: as much as four rumours known to all
+  CHECK(net.changes - before < 8 * 8 * 4);  // nobody flaps: as much as four pieces of gossip known to all
 }
 
 // ---- Merges ----
