Rename: the view's Roll is MemberTable

src/view/roll, class Roll and Swim::roll are member_table, MemberTable and Swim::member_table now. No assertion changes; the debug build with all tests compiles without warnings.

--- a/src/view/roll.cpp
+++ b/src/view/member_table.cpp
@@ -1,15 +1,15 @@
-#include "view/roll.h"
+#include "view/member_table.h"
 
 #include <limits>
 
 namespace lotusyard::view {
 
-const Peer* Roll::find(const std::string& name) const {
+const Peer* MemberTable::find(const std::string& name) const {
   const auto found = all_.find(name);
   return found == all_.end() ? nullptr : &found->second.peer;
 }
 
-void Roll::book(const Known& known, int by) {
+void MemberTable::book(const Known& known, int by) {
   if (here(known.peer.standing)) here_ += static_cast<std::size_t>(by);
   if (known.peer.standing != Standing::suspect) return;
   if (by > 0)
@@ -19,7 +19,7 @@
 }
 
 // The one gone for longest gives its place to another; false: nobody is gone.
-bool Roll::make_room() {
+bool MemberTable::make_room() {
   auto oldest = all_.end();
   for (auto i = all_.begin(); i != all_.end(); ++i) {
     if (here(i->second.peer.standing)) continue;
@@ -30,7 +30,7 @@
   return true;
 }
 
-Roll::Took Roll::merge(const Peer& peer, Millis now) {
+MemberTable::Took MemberTable::merge(const Peer& peer, Millis now) {
   auto found = all_.find(peer.name);
   if (found == all_.end()) {
     if (all_.size() >= pace_.members_most && !make_room()) return Took::refused;
@@ -49,12 +49,12 @@
   return Took::news;
 }
 
-Millis Roll::until(const Known& known, double stretch) const {
+Millis MemberTable::until(const Known& known, double stretch) const {
   const std::size_t further = known.accusers.empty() ? 0 : known.accusers.size() - 1;
   return known.since + pace_.suspicion(here_, further) * stretch;
 }
 
-std::vector<Peer> Roll::unheard(Millis now, double stretch) const {
+std::vector<Peer> MemberTable::unheard(Millis now, double stretch) const {
   std::vector<Peer> out;
   for (const auto& name : suspects_) {
     const Known& known = all_.at(name);
@@ -63,24 +63,24 @@
   return out;
 }
 
-Millis Roll::next_unheard(double stretch) const {
+Millis MemberTable::next_unheard(double stretch) const {
   Millis out(std::numeric_limits<double>::infinity());
   for (const auto& name : suspects_) out = std::min(out, until(all_.at(name), stretch));
   return out;
 }
 
-void Roll::later(Millis by) {
+void MemberTable::later(Millis by) {
   for (const auto& name : suspects_) all_.at(name).since += by;
 }
 
-void Roll::forget(Millis now, const std::string& self) {
+void MemberTable::forget(Millis now, const std::string& self) {
   for (auto i = all_.begin(); i != all_.end();) {
     const bool old = !here(i->second.peer.standing) && now - i->second.since > pace_.horizon;
     i = old && i->first != self ? all_.erase(i) : std::next(i);
   }
 }
 
-void Roll::forget_all_but(const std::string& self) {
+void MemberTable::forget_all_but(const std::string& self) {
   for (auto i = all_.begin(); i != all_.end();) {
     if (i->first != self) book(i->second, -1);
     i = i->first == self ? std::next(i) : all_.erase(i);
--- a/src/view/roll.h
+++ b/src/view/member_table.h
@@ -12,7 +12,7 @@
 
 namespace lotusyard::view {
 
-class Roll {
+class MemberTable {
  public:
   struct Known {
     Peer peer;
@@ -21,7 +21,7 @@
   };
   enum class Took { news, louder, known, refused };  // louder: one more member suspects it
 
-  explicit Roll(const Pace& pace) : pace_(pace) {}
+  explicit MemberTable(const Pace& pace) : pace_(pace) {}
   Took merge(const Peer& peer, Millis now);
   // Those whose time to speak up is over. `stretch`: how many times longer a member that doubts itself waits.
   std::vector<Peer> unheard(Millis now, double stretch) const;
--- a/src/view/swim.cpp
+++ b/src/view/swim.cpp
@@ -21,11 +21,11 @@
       self_(std::move(self)),
       seed_addresses_(std::move(seed_addresses)),
       random_(seed),
-      roll_(pace_),
+      member_table_(pace_),
       ticked_(now),
       period_ends_(now),
       heard_(now) {
-  roll_.merge(self_, now);
+  member_table_.merge(self_, now);
   peers_told_.spread(self_.name);
 }
 
@@ -33,7 +33,7 @@
 
 Millis Swim::due() const {
   if (usurped_ || gone_) return Millis(std::numeric_limits<double>::infinity());
-  Millis out = std::min({period_ends_, ticked_ + pace_.period, roll_.next_unheard(stretch())});
+  Millis out = std::min({period_ends_, ticked_ + pace_.period, member_table_.next_unheard(stretch())});
   if (!probe_.name.empty() && !probe_.answered && !probe_.helped) out = std::min(out, direct_by_);
   return out;
 }
@@ -43,7 +43,7 @@
   // Danger: a process that was stopped would take the silence of that time for others' deaths.
   if (const Millis gap = now - ticked_; gap > pace_.period * kStalled && !breaks("stall")) {
     ++counts_.stalls;
-    roll_.later(gap);
+    member_table_.later(gap);
     probe_ = {};
     period_ends_ = now + pace_.period;
     doubt(pace_.doubts_most / 2);
@@ -51,10 +51,10 @@
   ticked_ = now;
   // Danger: one that was cut off for longer than others remember would bring back who was forgotten.
   if (now - heard_ > pace_.horizon) {
-    roll_.forget_all_but(self_.name);
+    member_table_.forget_all_but(self_.name);
     heard_ = now;
   }
-  for (Peer& peer : roll_.unheard(now, stretch())) {
+  for (Peer& peer : member_table_.unheard(now, stretch())) {
     peer.standing = Standing::dead;
     peer.by = self_.name;
     ++counts_.died;
@@ -74,7 +74,7 @@
   // Those that were asked to try would have said that they got none either: their silence is about this
   // member.
   doubt(probe.asked > probe.nacks ? 1 : 0);
-  const Peer* there = roll_.find(probe.name);
+  const Peer* there = member_table_.find(probe.name);
   if (there == nullptr || !here(there->standing)) return;
   Peer peer = *there;
   peer.standing = Standing::suspect;
@@ -88,11 +88,11 @@
   ++periods_;
   period_ends_ = now + pace_.period * stretch();
   direct_by_ = now + pace_.period * pace_.direct * stretch();
-  roll_.forget(now, self_.name);
+  member_table_.forget(now, self_.name);
   while (!errands_.empty() && errands_.front().until < now) errands_.pop_front();
   ask_for_all();
   const std::string name = next_in_turn();
-  const Peer* peer = name.empty() ? nullptr : roll_.find(name);
+  const Peer* peer = name.empty() ? nullptr : member_table_.find(name);
   if (peer == nullptr) return;
   probe_ = {name, ++number_, false, false, 0, 0};
   send(peer->address, Message::Kind::ping, number_, {}, peer->standing == Standing::suspect ? peer : nullptr);
@@ -105,10 +105,10 @@
     while (!turn_.empty()) {
       const std::string name = turn_.front();
       turn_.pop_front();
-      const Peer* peer = roll_.find(name);
+      const Peer* peer = member_table_.find(name);
       if (peer != nullptr && here(peer->standing)) return name;
     }
-    for (const auto& [name, known] : roll_.all()) {
+    for (const auto& [name, known] : member_table_.all()) {
       if (name != self_.name && here(known.peer.standing)) turn_.push_back(name);
     }
     std::shuffle(turn_.begin(), turn_.end(), random_);
@@ -128,7 +128,7 @@
     send(some_here[0]->address, Message::Kind::exchange, 0, {});
   if (!some_here.empty() && !turn(pace_.dead_every)) return;
   std::vector<std::string> places = seed_addresses_;
-  for (const auto& [name, known] : roll_.all()) {
+  for (const auto& [name, known] : member_table_.all()) {
     if (here(known.peer.standing))
       places.erase(std::remove(places.begin(), places.end(), known.peer.address), places.end());
     else if (known.peer.standing == Standing::dead)
@@ -141,7 +141,7 @@
 std::vector<const Peer*> Swim::some(std::size_t most, const std::string& but) {
   std::vector<const Peer*> out;
   std::size_t met = 0;
-  for (const auto& [name, known] : roll_.all()) {  // each with the same chance
+  for (const auto& [name, known] : member_table_.all()) {  // each with the same chance
     if (name == self_.name || name == but || !here(known.peer.standing)) continue;
     ++met;
     if (out.size() < most)
--- a/src/view/swim.h
+++ b/src/view/swim.h
@@ -11,9 +11,9 @@
 
 #include "view/facts.h"
 #include "view/gossip.h"
+#include "view/member_table.h"
 #include "view/message.h"
 #include "view/pace.h"
-#include "view/roll.h"
 
 namespace lotusyard::view {
 
@@ -39,7 +39,7 @@
   const Peer& self() const { return self_; }
   // Another process goes by this name, of a later life: this one holds its peace.
   bool usurped() const { return usurped_; }
-  const Roll& roll() const { return roll_; }
+  const MemberTable& member_table() const { return member_table_; }
   Facts& facts() { return facts_; }
   const Facts& facts() const { return facts_; }
   const Counts& counts() const { return counts_; }
@@ -64,7 +64,7 @@
   Peer self_;
   std::vector<std::string> seed_addresses_;
   std::mt19937_64 random_;
-  Roll roll_;
+  MemberTable member_table_;
   Facts facts_;
   Gossip peers_told_, facts_told_;
   std::deque<std::string> turn_;  // whom to ask next
--- a/src/view/swim_hears.cpp
+++ b/src/view/swim_hears.cpp
@@ -21,15 +21,15 @@
   if (about_peer != nullptr) out.peers.push_back(*about_peer);
   const bool whole = kind == Message::Kind::exchange || kind == Message::Kind::reply;
   if (whole) {
-    for (const auto& [name, known] : roll_.all()) out.peers.push_back(known.peer);
+    for (const auto& [name, known] : member_table_.all()) out.peers.push_back(known.peer);
     out.facts = facts_.all();
-    peers_told_.told_whole(roll_.here_count());
-    facts_told_.told_whole(roll_.here_count());
+    peers_told_.told_whole(member_table_.here_count());
+    facts_told_.told_whole(member_table_.here_count());
   } else {
-    for (const auto& name : peers_told_.take(pace_.carried_most, roll_.here_count())) {
-      if (const Peer* peer = roll_.find(name)) out.peers.push_back(*peer);
+    for (const auto& name : peers_told_.take(pace_.carried_most, member_table_.here_count())) {
+      if (const Peer* peer = member_table_.find(name)) out.peers.push_back(*peer);
     }
-    for (const auto& key : facts_told_.take(pace_.carried_most, roll_.here_count())) {
+    for (const auto& key : facts_told_.take(pace_.carried_most, member_table_.here_count())) {
       const auto at = key.find('\n');
       if (const Fact* fact = facts_.find(key.substr(0, at), key.substr(at + 1))) out.facts.push_back(*fact);
     }
@@ -52,18 +52,18 @@
     // Danger: two processes of one name that both speak up would outdo each other for ever. The later life
     // stays.
     usurped_ = true;
-    roll_.merge(peer, now);
+    member_table_.merge(peer, now);
     return changes_.push_back(peer);
   }
   if (peer.name == self_.name && outdoes(peer, self_)) return speak_up(peer.round, now);
-  const Peer* before = roll_.find(peer.name);
+  const Peer* before = member_table_.find(peer.name);
   const Standing stood = before == nullptr ? Standing::dead : before->standing;
   const std::uint64_t lived = before == nullptr ? 0 : before->life;
-  switch (roll_.merge(peer, now)) {
-    case Roll::Took::refused: ++counts_.refused; return;
-    case Roll::Took::known: return;
-    case Roll::Took::louder: return peers_told_.spread(peer.name);
-    case Roll::Took::news: break;
+  switch (member_table_.merge(peer, now)) {
+    case MemberTable::Took::refused: ++counts_.refused; return;
+    case MemberTable::Took::known: return;
+    case MemberTable::Took::louder: return peers_told_.spread(peer.name);
+    case MemberTable::Took::news: break;
   }
   peers_told_.spread(peer.name);
   if (peer.standing != stood || peer.life != lived || before == nullptr) changes_.push_back(peer);
@@ -75,7 +75,7 @@
 // each side holds the other for dead, and says so of members that are well. They are given the time to speak
 // up.
 void Swim::take_said(Peer peer, Millis now) {
-  const Peer* before = roll_.find(peer.name);
+  const Peer* before = member_table_.find(peer.name);
   const bool well = before != nullptr && here(before->standing) && before->life == peer.life;
   if (peer.standing == Standing::dead && well && peer.name != self_.name && outdoes(peer, *before)) {
     peer.standing = Standing::suspect;
@@ -108,7 +108,7 @@
 
 void Swim::answer(const Message& m, Millis now) {
   // It may not know what is said of it, and would not speak up: it is told with the answer.
-  const Peer* them = roll_.find(m.self.name);
+  const Peer* them = member_table_.find(m.self.name);
   const Peer* gossip = them != nullptr && outdoes(*them, m.self) ? them : nullptr;
   const std::string& address = m.self.address;
   switch (m.kind) {
@@ -116,7 +116,7 @@
     case Message::Kind::exchange: return send(address, Message::Kind::reply, 0, {});
     case Message::Kind::reply: return;
     case Message::Kind::ask: {
-      const Peer* about = roll_.find(m.about);
+      const Peer* about = member_table_.find(m.about);
       if (about == nullptr || errands_.size() >= kErrandsMost) return;
       errands_.push_back({m.number, ++number_, address, m.about, now + pace_.period * 4});
       send(address, Message::Kind::nack, m.number, m.about, gossip);
@@ -133,7 +133,7 @@
   if (mine == errands_.end()) return;
   const Errand errand = *mine;
   errands_.erase(mine);
-  const Peer* about = roll_.find(errand.about);
+  const Peer* about = member_table_.find(errand.about);
   send(errand.address, Message::Kind::ack, errand.theirs, errand.about, about);
 }
 
--- a/src/view/viewer.cpp
+++ b/src/view/viewer.cpp
@@ -73,7 +73,7 @@
     listed.insert(id);
     swim_->see(id, member.entry.started.count(), !fails_(id));
   }
-  for (const auto& [name, known] : swim_->roll().all()) {
+  for (const auto& [name, known] : swim_->member_table().all()) {
     if (here(known.peer.standing)) observers.insert(name);
   }
   swim_->facts().keep(listed, observers);
@@ -105,7 +105,7 @@
 
 std::size_t Viewer::seen() const {
   if (!swim_) return 0;
-  const auto& all = swim_->roll().all();
+  const auto& all = swim_->member_table().all();
   return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& entry) {
     return here(entry.second.peer.standing) && entry.second.peer.standing != Standing::joining;
   }));
@@ -114,7 +114,7 @@
 nlohmann::json Viewer::shown() const {
   nlohmann::json members = nlohmann::json::object(), hosts = nlohmann::json::object();
   if (!swim_) return {{"member", config_.member}, {"members", members}, {"hosts", hosts}};
-  for (const auto& [name, known] : swim_->roll().all()) {
+  for (const auto& [name, known] : swim_->member_table().all()) {
     members[name] = {{"standing", name_of(known.peer.standing)},
                      {"life", known.peer.life},
                      {"round", known.peer.round},
--- a/tests/lotusyard/view_net.h
+++ b/tests/lotusyard/view_net.h
@@ -157,7 +157,7 @@
     }
   }
   char mark(std::size_t at, std::size_t of) const {
-    const Peer* peer = nodes[at].swim->roll().find(nodes[of].name);
+    const Peer* peer = nodes[at].swim->member_table().find(nodes[of].name);
     return peer == nullptr ? '.' : "~+?x<"[static_cast<std::size_t>(peer->standing)];
   }
   std::string cell(std::size_t at) const {
@@ -188,7 +188,7 @@
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (!nodes[i].swim) continue;
       for (std::size_t k = 0; k < nodes.size(); ++k) {
-        const Peer* peer = nodes[i].swim->roll().find(nodes[k].name);
+        const Peer* peer = nodes[i].swim->member_table().find(nodes[k].name);
         const bool up = peer != nullptr && peer->standing <= Standing::alive && peer->life == nodes[k].life;
         if (up != (nodes[k].swim != nullptr)) return false;
       }
--- a/tests/lotusyard/view_test.cpp
+++ b/tests/lotusyard/view_test.cpp
@@ -125,7 +125,7 @@
   net.run(5000);
   CHECK(net.nodes[0].swim->usurped());
   CHECK_FALSE(net.nodes[3].swim->usurped());
-  CHECK(net.nodes[1].swim->roll().find("a")->address == net.nodes[3].address);
+  CHECK(net.nodes[1].swim->member_table().find("a")->address == net.nodes[3].address);
 }
 
 TEST_CASE("a link that is cut one way only makes nobody dead, and little unrest") {
@@ -135,7 +135,7 @@
   for (std::size_t i = 1; i < 5; ++i) net.cut.insert({i, 0});  // half of them cannot reach a
   const auto before = net.changes;
   net.run(120000);
-  for (const auto& n : net.nodes) CHECK(n.swim->roll().find("a")->standing != Standing::dead);
+  for (const auto& n : net.nodes) CHECK(n.swim->member_table().find("a")->standing != Standing::dead);
   CHECK(net.changes - before < 8 * 8 * 4);  // nobody flaps: as much as four pieces of gossip known to all
 }
 
@@ -307,24 +307,28 @@
   net.part({0});
   net.crash(3);
   net.run(100000);
-  CHECK(net.nodes[1].swim->roll().find("d") == nullptr);
+  CHECK(net.nodes[1].swim->member_table().find("d") == nullptr);
   net.heal();
   net.run(5000);
-  for (std::size_t i = 0; i < 3; ++i) CHECK(net.nodes[i].swim->roll().find("d") == nullptr);
+  for (std::size_t i = 0; i < 3; ++i) CHECK(net.nodes[i].swim->member_table().find("d") == nullptr);
 }
 
 TEST_CASE("tables are bounded, and those gone longest give their places") {
   view::Pace pace;
   pace.members_most = 10;
-  view::Roll roll(pace);
+  view::MemberTable member_table(pace);
   for (int i = 0; i < 10; ++i)
-    roll.merge({"m" + std::to_string(i), "127.0.0.1:1", 1, 0, i < 2 ? Standing::dead : Standing::alive, {}},
-               Millis(i));
-  CHECK(roll.merge({"x", "127.0.0.1:1", 1, 0, Standing::alive, {}}, Millis(20)) == view::Roll::Took::news);
-  CHECK(roll.find("m0") == nullptr);
-  CHECK(roll.merge({"y", "127.0.0.1:1", 1, 0, Standing::alive, {}}, Millis(20)) == view::Roll::Took::news);
-  CHECK(roll.merge({"z", "127.0.0.1:1", 1, 0, Standing::alive, {}}, Millis(20)) == view::Roll::Took::refused);
-  CHECK(roll.here_count() == 10);
+    member_table.merge(
+        {"m" + std::to_string(i), "127.0.0.1:1", 1, 0, i < 2 ? Standing::dead : Standing::alive, {}},
+        Millis(i));
+  CHECK(member_table.merge({"x", "127.0.0.1:1", 1, 0, Standing::alive, {}}, Millis(20)) ==
+        view::MemberTable::Took::news);
+  CHECK(member_table.find("m0") == nullptr);
+  CHECK(member_table.merge({"y", "127.0.0.1:1", 1, 0, Standing::alive, {}}, Millis(20)) ==
+        view::MemberTable::Took::news);
+  CHECK(member_table.merge({"z", "127.0.0.1:1", 1, 0, Standing::alive, {}}, Millis(20)) ==
+        view::MemberTable::Took::refused);
+  CHECK(member_table.here_count() == 10);
 }
 
 }  // namespace
