--- a/src/view/swim.h
+++ b/src/view/swim.h
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "view/facts.h"
+#include "view/gossip.h"
+#include "view/member_table.h"
 #include "view/message.h"
 #include "view/pace.h"
-#include "view/roll.h"
-#include "view/rumours.h"
 
 namespace lotusyard::view {
 
@@ -26,8 +26,8 @@
   struct Counts {
     std::uint64_t refuted = 0, suspected = 0, died = 0, stalls = 0, refused = 0;
   };
-  // `doors`: addresses at which others may be found.
-  Swim(Peer self, std::vector<std::string> doors, Pace pace, std::uint64_t seed, Millis now);
+  // `seed_addresses`: addresses at which others may be found.
+  Swim(Peer self, std::vector<std::string> seed_addresses, Pace pace, std::uint64_t seed, Millis now);
 
   void tick(Millis now);
   Millis due() const;  // when `tick` wants to be called, at the latest
@@ -39,7 +39,7 @@
   const Peer& self() const { return self_; }
   // Another process goes by this name, of a later life: this one holds its peace.
   bool usurped() const { return usurped_; }
-  const Roll& roll() const { return roll_; }
+  const MemberTable& member_table() const { return member_table_; }
   Facts& facts() { return facts_; }
   const Facts& facts() const { return facts_; }
   const Counts& counts() const { return counts_; }
@@ -62,11 +62,11 @@
   };
   Pace pace_;
   Peer self_;
-  std::vector<std::string> doors_;
+  std::vector<std::string> seed_addresses_;
   std::mt19937_64 random_;
-  Roll roll_;
+  MemberTable member_table_;
   Facts facts_;
-  Rumours peers_told_, facts_told_;
+  Gossip peers_told_, facts_told_;
   std::deque<std::string> turn_;  // whom to ask next
   Probe probe_;
   std::deque<Errand> errands_;
--- a/tests/lotusyard/view_net.h
+++ b/tests/lotusyard/view_net.h
@@ -60,11 +60,11 @@
   void start(std::size_t i, bool serves = true) {
     Node& n = nodes[i];
     n.life = std::max<std::uint64_t>(n.life + 1, 1);
-    std::vector<std::string> doors;
+    std::vector<std::string> seed_addresses;
     for (std::size_t k = 0; k < std::min<std::size_t>(nodes.size(), 3); ++k)
-      doors.push_back(nodes[k].address);
-    n.swim = std::make_unique<Swim>(Peer{n.name, n.address, n.life, 0, Standing::joining, {}}, doors, pace,
-                                    random(), Millis(now));
+      seed_addresses.push_back(nodes[k].address);
+    n.swim = std::make_unique<Swim>(Peer{n.name, n.address, n.life, 0, Standing::joining, {}}, seed_addresses,
+                                    pace, random(), Millis(now));
     n.due = now;
     if (serves) n.swim->serve(Millis(now));
     say(n.name + " starts");
@@ -157,7 +157,7 @@
     }
   }
   char mark(std::size_t at, std::size_t of) const {
-    const Peer* peer = nodes[at].swim->roll().find(nodes[of].name);
+    const Peer* peer = nodes[at].swim->member_table().find(nodes[of].name);
     return peer == nullptr ? '.' : "~+?x<"[static_cast<std::size_t>(peer->standing)];
   }
   std::string cell(std::size_t at) const {
@@ -188,7 +188,7 @@
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (!nodes[i].swim) continue;
       for (std::size_t k = 0; k < nodes.size(); ++k) {
-        const Peer* peer = nodes[i].swim->roll().find(nodes[k].name);
+        const Peer* peer = nodes[i].swim->member_table().find(nodes[k].name);
         const bool up = peer != nullptr && peer->standing <= Standing::alive && peer->life == nodes[k].life;
         if (up != (nodes[k].swim != nullptr)) return false;
       }
