--- /dev/null
+++ b/src/control/session.h
@@ -0,0 +1,95 @@
+// An invoker's session with a control node: which node it goes to, when it moves, and until when its lease
+// holds. One connection at a time. No I/O; the time, chance and the transport are passed in.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "control/replica.h"
+#include "core/counters.h"
+
+namespace lotusyard::control {
+
+class Session {
+ public:
+  class Transport {
+   public:
+    virtual ~Transport() = default;
+    virtual void connect(const NodeAddress& node) = 0;  // `connected` or `disconnected` follows
+    virtual void send(const std::string& frame) = 0;
+    virtual void disconnect() = 0;  // at once; `disconnected` is not called for it
+  };
+  // How fast a session moves from node to node. Every wait is drawn at random up to its bound, so that many
+  // sessions that lose their node together do not arrive together.
+  struct Pacing {
+    Millis connect_timeout{1000};
+    Millis first_wait{500};  // at most so long before the first attempt after a session was lost
+    Millis most_wait{5000};  // the bound doubles with each further failure, up to this
+  };
+  struct Config {
+    std::string cluster, invoker, zone, region;
+    std::uint64_t incarnation = 0;
+    std::vector<NodeAddress> nodes;  // where to begin; more are learnt from the nodes
+    group::Terms terms;
+    Pacing pacing;
+  };
+
+  Session(Config config, Transport& transport, Replica& replica, core::Counters& counters, std::uint64_t seed,
+          Millis now);
+
+  void tick(Millis now);
+  Millis due() const;  // when `tick` wants to be called, at the latest
+  void connected(Millis now);
+  void disconnected(Millis now);
+  void received(Message&& message, Millis now);
+  void malformed(Millis now);  // what came cannot be read: counted, and the session moves
+  void close(Millis now);      // the process ends: the lease is given up, and nothing is connected again
+
+  // Nothing that a change up to there forbids is under way here; reported with the next renewal.
+  void set_settled(Index settled) { settled_ = settled; }
+  bool forward(const std::string& part, const std::string& word);  // false: there is no session now
+
+  bool holds(Millis now) const { return now < lease_until_; }
+  Millis lease_until() const { return lease_until_; }
+  bool ever_held() const { return lease_until_.count() > 0; }
+  bool open() const { return state_ == State::open; }
+  const NodeAddress& node() const { return node_; }  // the one that it is at, or goes to
+
+ private:
+  enum class State { waiting, connecting, opening, open, closed };
+  struct Renewal {
+    std::uint64_t sequence = 0;
+    Millis sent{0};
+  };
+  Config config_;
+  Transport& transport_;
+  Replica& replica_;
+  core::Counters& counters_;
+  std::mt19937_64 random_;
+  State state_ = State::waiting;
+  std::map<std::string, NodeAddress> nodes_;  // by address
+  std::map<std::string, Millis> not_before_;  // by address: it refused, or failed
+  NodeAddress node_;
+  Millis next_attempt_{0}, state_since_{0}, next_renewal_{0}, lease_until_{0};
+  std::deque<Renewal> outstanding_;
+  std::uint64_t sequence_ = 0;
+  Index settled_ = 0;
+  int failures_ = 0;  // on end
+  Millis leaseless_since_{0};
+  bool resuming_ = false;  // a gap was reported, and the delta behind it has not come yet
+
+  void attempt(Millis now);
+  const NodeAddress* choose(Millis now);
+  void lose(Millis now, Millis not_before);
+  void learn(const std::vector<NodeAddress>& nodes);
+  void renew(Millis now);
+  void on_welcome(const Welcome& welcome, Millis now);
+  void on_refusal(const Refusal& refusal, Millis now);
+  void on_grant(const Grant& grant, Millis now);
+  void on_replicated(Replica::Outcome outcome, Millis now);
+};
+
+}  // namespace lotusyard::control
