Control tier: an invoker's companion, a control node's role, and what they share; not built yet

Need: sessions are to hold invokers to what the group has agreed upon. Change: new files only; nothing is compiled into a program yet. Measured: nothing yet.

--- /dev/null
+++ b/src/node/control_role.cpp
@@ -0,0 +1,110 @@
+#include "node/control_role.h"
+
+#include <algorithm>
+
+#include "config/config.h"
+#include "node/records.h"
+
+namespace lotusyard::node {
+namespace {
+
+using nlohmann::json;
+
+const std::string kViews = "works";  // the part for which sessions forward what they see
+
+control::ControlNode::Config node_config(const group::Config& group, const control::NodeConfig& config,
+                                         std::uint64_t life) {
+  control::ControlNode::Config out;
+  out.cluster = group.cluster;
+  out.self = config.self;
+  out.life = life;
+  out.terms = group.terms;
+  out.terms.offline = config.offline;
+  out.sessions = config.sessions;
+  return out;
+}
+
+}  // namespace
+
+ControlRole::ControlRole(const Wiring& wiring, const group::Config& group, const control::NodeConfig& config,
+                         group::Member& member, works::Coordinator& coordinator, compliance::Officer& officer,
+                         const group::Lease& lease, Note note)
+    : wiring_(wiring),
+      coordinator_(coordinator),
+      officer_(officer),
+      lease_(lease),
+      note_(std::move(note)),
+      server_(wiring.loop, wiring.counters, node_config(group, config, member.life())) {
+  control::ControlNode& node = server_.node();
+  node.set_nodes(config.nodes);
+  node.when_forwarded([this](auto session, const control::Forward& word) { forwarded(session, word); });
+  node.divide_by([this](auto session, works::Millis until) { return share_of(session, until); });
+  if (!server_.listen(config.listen))
+    throw config::ConfigError("configuration: control.listen: cannot listen on " + config.listen);
+  member.observe(this);
+  coordinator_.represent([this] { return represented(); },
+                         [this](works::View own) { return views_.merged(std::move(own)); });
+  officer_.represent([this](std::uint64_t index) { return floors_.settled >= index; });
+  note_("sessions are taken on " + server_.address());
+}
+
+ControlRole::~ControlRole() {
+  coordinator_.represent({}, {});
+  officer_.represent({});
+}
+
+// Danger: a change that is passed on under an index below its own would count as applied too early.
+void ControlRole::log_applied(std::uint64_t index) {
+  control::ControlNode& node = server_.node();
+  if (!renewed_ && version() == records_version_) return node.applied(index, {});
+  control::Records records = records_of(coordinator_.board(), officer_.book());
+  if (renewed_) {
+    node.reset(index, records);
+  } else {
+    node.applied(index, control::difference(records_, records));
+  }
+  renewed_ = false;
+  records_version_ = version();
+  records_ = std::move(records);
+}
+
+void ControlRole::follow() {
+  const bool holds = !coordinator_.has_failed() && lease_.holds(now());
+  server_.node().set_lease(holds ? lease_.until() : works::Millis(0));
+}
+
+void ControlRole::set_share(double share, std::uint64_t index) {
+  shares_told_ = true;
+  allotment_.set_part(share, index);
+}
+
+std::optional<double> ControlRole::share_of(control::SessionTable::SessionId session,
+                                            works::Millis lease_until) {
+  if (!shares_told_) return std::nullopt;
+  return allotment_.grant(session, server_.node().sessions().connected(), lease_until, now());
+}
+
+works::Coordinator::Represented ControlRole::represented() {
+  const auto known = [this](SessionViews::SessionId id) { return server_.node().sessions().known(id); };
+  views_.retain(known);
+  floors_ = server_.node().floors(now());
+  return {allotment_.respected(floors_.followed, now()), floors_.settled};
+}
+
+void ControlRole::forwarded(control::SessionTable::SessionId session, const control::Forward& forward) {
+  const bool taken = forward.part == kViews && views_.take(session, forward.word);
+  if (!taken) wiring_.counters.add("control.malformed_words");
+}
+
+json ControlRole::shown() const {
+  const auto& sessions = const_cast<control::NodeServer&>(server_).node().sessions();
+  return {{"sessions", sessions.connected()},
+          {"counted", sessions.size()},
+          {"applied", floors_.applied},
+          {"followed", floors_.followed},
+          {"settled", floors_.settled},
+          {"records", records_.size()},
+          {"views", views_.size()}};
+}
+
+}  // namespace lotusyard::node
--- /dev/null
+++ b/src/node/settled.h
@@ -0,0 +1,34 @@
+// Up to which index of the log nothing that a change forbids is still under way at this process: no call at a
+// host that is to be left alone, none under a certificate that was revoked. No I/O; the time is passed in.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "compliance/book.h"
+#include "control/message.h"
+#include "works/board.h"
+
+namespace lotusyard::node {
+
+class SettledTracker {
+ public:
+  using HostIsFree = std::function<bool(const std::string& host)>;  // no call of this process is there
+  // `last_call`: no call stays at a host for longer after it went out.
+  explicit SettledTracker(works::Millis last_call) : last_call_(last_call) {}
+
+  // `position`: what board and book are as of.
+  control::Index settled(const works::Board& board, const compliance::Book& book, control::Index position,
+                         const HostIsFree& free, works::Millis now);
+
+ private:
+  using Revocation = std::pair<std::string, control::Index>;  // a certificate, and when it was revoked
+  works::Millis last_call_;
+  std::map<Revocation, works::Millis> revoked_since_;  // that this process knows of each
+
+  control::Index before_revocations(const compliance::Book& book, works::Millis now);
+};
+
+}  // namespace lotusyard::node
