--- /dev/null
+++ b/src/control/session_client.cpp
@@ -0,0 +1,115 @@
+#include "control/session_client.h"
+
+#include <algorithm>
+
+#include "net/stream.h"
+
+namespace lotusyard::control {
+namespace {
+
+constexpr std::size_t kBlocks = 128;  // of 16 KB: what may wait unsent
+
+}  // namespace
+
+class SessionClient::Connection final : public net::Stream {
+ public:
+  // Urgent: a lease must be renewed whatever the load of calls is.
+  Connection(SessionClient& client, net::Socket socket)
+      : Stream(client.loop_, client.pool_, std::move(socket), true, net::Loop::Rank::urgent),
+        client_(client) {}
+
+  // The session is done with it, perhaps while it is inside `received`.
+  void let_go() {
+    flush_now();
+    if (outbox().empty()) {
+      finish_later();
+    } else {
+      end_later();
+    }
+  }
+
+ private:
+  SessionClient& client_;
+  MessageReader reader_{longest_to_invoker};
+
+  bool current() const { return client_.connection_.get() == this; }
+  void connected() override {
+    if (!current()) return;
+    client_.session_.connected(loop().now());
+    client_.arm_timer();
+  }
+  void received(std::string_view bytes) override {
+    if (!current()) return;
+    std::vector<Message> messages;
+    const bool sound = reader_.take(bytes, messages);
+    for (auto& message : messages) {
+      client_.session_.received(std::move(message), loop().now());
+      if (!current()) break;
+    }
+    if (!sound && current()) client_.session_.malformed(loop().now());
+    client_.arm_timer();
+  }
+  void ended() override { client_.connection_ended(*this); }
+};
+
+SessionClient::SessionClient(net::Loop& loop, core::Counters& counters, Session::Config config,
+                             std::uint64_t seed)
+    : loop_(loop), pool_(kBlocks), session_(std::move(config), *this, replica_, counters, seed, loop.now()) {
+  arm_timer();
+}
+
+SessionClient::~SessionClient() {
+  loop_.cancel(session_timer_);
+  loop_.cancel(failure_timer_);
+}
+
+void SessionClient::arm_timer() {
+  loop_.cancel(session_timer_);
+  session_timer_ = loop_.at(session_.due(), [this] { tick(); });
+}
+
+void SessionClient::tick() {
+  session_.tick(loop_.now());
+  arm_timer();
+}
+
+void SessionClient::connect(const NodeAddress& node) {
+  disconnect();
+  net::Socket socket = net::connect_to(node.address);
+  if (socket) {
+    connection_ = std::make_shared<Connection>(*this, std::move(socket));
+  } else {
+    failure_timer_ = loop_.at(loop_.now(), [this] { connection_failed(); });
+  }
+}
+
+void SessionClient::connection_failed() {
+  session_.disconnected(loop_.now());
+  arm_timer();
+}
+
+void SessionClient::send(const std::string& frame) {
+  if (connection_) connection_->write(frame);
+}
+
+void SessionClient::disconnect() {
+  loop_.cancel(failure_timer_);
+  if (!connection_) return;
+  closing_.push_back(std::exchange(connection_, nullptr));
+  closing_.back()->let_go();
+}
+
+void SessionClient::connection_ended(Connection& connection) {
+  if (connection_.get() == &connection) {
+    loop_.bury(std::exchange(connection_, nullptr));
+    session_.disconnected(loop_.now());
+    return arm_timer();
+  }
+  const auto same = [&](const auto& other) { return other.get() == &connection; };
+  const auto found = std::find_if(closing_.begin(), closing_.end(), same);
+  if (found == closing_.end()) return;
+  loop_.bury(*found);
+  closing_.erase(found);
+}
+
+}  // namespace lotusyard::control
--- /dev/null
+++ b/src/control/session_client.h
@@ -0,0 +1,47 @@
+// The socket and the timer of an invoker's session: one connection at a time to the node that the session
+// chooses, on the program's own loop.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "control/replica.h"
+#include "control/session.h"
+#include "net/loop.h"
+
+namespace lotusyard::control {
+
+class SessionClient final : public Session::Transport {
+ public:
+  SessionClient(net::Loop& loop, core::Counters& counters, Session::Config config, std::uint64_t seed);
+  ~SessionClient() override;  // never from inside a call of the session or the replica
+  SessionClient(const SessionClient&) = delete;
+  SessionClient& operator=(const SessionClient&) = delete;
+
+  Session& session() { return session_; }
+  Replica& replica() { return replica_; }
+
+  // For the session.
+  void connect(const NodeAddress& node) override;
+  void send(const std::string& frame) override;
+  // What was sent goes out first where the kernel takes it at once: a Close must reach the node.
+  void disconnect() override;
+
+ private:
+  class Connection;
+  net::Loop& loop_;
+  net::BufferPool pool_;
+  std::shared_ptr<Connection> connection_;
+  std::vector<std::shared_ptr<Connection>> closing_;  // the session is done with them; they end by themselves
+  net::Loop::TimerId session_timer_{}, failure_timer_{};
+  Replica replica_;
+  Session session_;
+
+  void arm_timer();
+  void tick();
+  void connection_failed();
+  void connection_ended(Connection& connection);
+};
+
+}  // namespace lotusyard::control
