Control tier: the node's change log, session table and message handling

The first grant under a new lease of the node, after a start or a lapse, takes all that was applied for reported: the group may have gone on without this node until then.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -67,10 +67,13 @@
  private:
   struct Link {
     SessionTable::SessionId session = 0;  // 0: not open yet
-    Index sent = 0;                       // everything up to here was sent, or was there before
+    Index cursor = 0;                     // what goes out next is behind this
+    Index sent = 0;  // the furthest that the replica can be: all that was sent, or was there before
     std::shared_ptr<const ChangeLog::Snapshot> snapshot;  // under way
     std::size_t snapshot_sent = 0;
     std::uint64_t renewed = 0;  // the last sequence number
+    double forwards = 0;        // how many words it may still forward, as of `forwards_at`
+    Millis forwards_at{0};
   };
   Config config_;
   Transport& transport_;
@@ -87,11 +90,17 @@
   void on_open(LinkId id, Link& link, const Open& open, Millis now);
   void on_renew(LinkId id, Link& link, const Renew& renew, Millis now);
   void on_resume(LinkId id, Link& link, const Resume& resume);
-  void on_forward(const Forward& forward);
+  void on_forward(Link& link, const Forward& forward, Millis now);
+  void on_close(LinkId id, const Link& link, Millis now);
   void refuse(LinkId id, RefusalReason reason, Millis retry_after);
   void fault(LinkId id, const char* counter);  // counted, and the link ends
-  void drop(LinkId id);
-  void pump(LinkId id, Link& link);
+  void drop(LinkId id);                        // forgets the link, and ends it
+  void supersede(SessionTable::SessionId session, LinkId newer);
+  void pump(LinkId id, Link& link);  // sends what is next for as long as there is room
+  void pump_all();
+  bool needs_snapshot(const Link& link) const;
+  void send_chunk(LinkId id, Link& link);
+  bool send_delta(LinkId id, Link& link);  // false: there is none
 };
 
 }  // namespace lotusyard::control
--- a/src/control/session_table.h
+++ b/src/control/session_table.h
@@ -20,9 +20,9 @@
 
 // What a node tells the group of all its sessions.
 struct Floors {
-  Index applied = 0;  // every session that can hold a lease has applied everything up to here
-  Index settled = 0;  // and nothing that a change up to here forbids is under way at any of them
-  std::size_t sessions = 0;
+  Index applied = 0;         // every session that can hold a lease has applied everything up to here
+  Index settled = 0;         // and nothing that a change up to here forbids is under way at any of them
+  std::size_t sessions = 0;  // connected ones
 };
 
 class SessionTable {
@@ -35,7 +35,8 @@
   using SessionId = std::uint64_t;  // 0: none
   struct Admission {
     SessionId session = 0;
-    RefusalReason refusal = RefusalReason::full;  // holds where there is no session
+    bool malformed = false;  // the position is older than what the same incarnation reported before
+    RefusalReason refusal = RefusalReason::full;  // holds where there is no session, and nothing malformed
     Millis retry_after{0};
   };
 
@@ -43,14 +44,18 @@
   // (lease + last call) later, so that nothing is reported before.
   SessionTable(const group::Terms& terms, Limits limits, const ChangeLog& log, Millis started);
 
-  // A connection asks for a session. The same incarnation of an invoker continues its earlier one, which
-  // must then have no other connection (see `connected`).
+  // A connection asks for a session. The same incarnation of an invoker continues its earlier one; if that
+  // has a connection still, the caller ends it without a call of `disconnected`.
   Admission open(const std::string& invoker, std::uint64_t incarnation, Index position, Millis now);
   // False: the report is malformed (it goes back, is ahead of the node, or settled exceeds applied); nothing
   // has changed.
   bool report(SessionId session, Index applied, Index settled);
   // How long a lease may last that begins before `now`; `node_lease_until`: the end of the node's own. 0: no
   // lease, for the node has none, or the session is behind what the node has reported.
+  //
+  // While the node's own lease had lapsed, and before its first one, the group may have gone on without this
+  // node, up to any index below that of the entry that gave it its new lease. So the first grant under a new
+  // lease of the node takes all that was applied here for reported; the caller applies that entry first.
   Millis grant(SessionId session, Millis node_lease_until, Millis now);
   void disconnected(SessionId session);        // its lease runs on
   void closed(SessionId session, Millis now);  // the invoker has given its lease up
@@ -69,7 +74,7 @@
     std::uint64_t incarnation = 0;
     bool connected = false;
     Index applied = 0, settled = 0;
-    Millis lease_until{0};
+    std::optional<Millis> lease_until;  // nothing: it never had one
   };
   group::Terms terms_;
   Limits limits_;
@@ -80,12 +85,16 @@
   SessionId last_id_ = 0;
   std::size_t connected_ = 0;
   Index reported_ = 0;
+  Millis granted_under_{0};  // the latest end of the node's own lease under which `grant` was asked
   double tokens_ = 0;
   Millis filled_at_{0};
 
   bool counts_for_applied(const Session& session, Millis now) const;
   bool counts_for_settled(const Session& session, Millis now) const;
-  Millis take_token(Millis now);  // 0: one was to be had; else when the next is
+  Millis take_token(Millis now);  // 0: one was to be had; else when to try again
+  void forget(std::map<SessionId, Session>::iterator session);
+  void require_present(Millis node_lease_until, Millis now);
+  Millis last_call() const { return terms_.last_call * (1 + terms_.drift); }  // by any member's clock
 };
 
 }  // namespace lotusyard::control
--- /dev/null
+++ b/tests/control/property.h
@@ -0,0 +1,25 @@
+// Properties over made-up courses, with a fixed seed.
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <iostream>
+
+#include "breaks_here.h"
+
+namespace lotusyard::test {
+
+// Whether a property holds for so many cases. A case that fails is printed, cut down to its smallest, unless
+// a rule was broken on purpose.
+template <typename Property>
+bool property_holds(const char* what, int cases, const Property& property) {
+  rc::detail::TestParams params;
+  params.maxSuccess = cases;
+  params.seed = 7;
+  const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{"", what}, params);
+  const bool held = result.template is<rc::detail::SuccessResult>();
+  if (!held && broken_rule.empty()) rc::detail::printResultMessage(result, std::cerr);
+  return held;
+}
+
+}  // namespace lotusyard::test
