Control tier: an invoker's replica and session, first tests

Need: invokers hold leases and the group's records through a session with one control node. Private members of the headers changed, no public signature.

--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -23,7 +23,10 @@
   using Moved = std::function<void(const Change* change)>;
 
   void when_moved(Moved moved) { moved_ = std::move(moved); }
+  // Chunks come strictly in order; one at offset 0 begins a snapshot anew. A snapshot that is not newer than
+  // the replica is a duplicate. After a malformed chunk the next one must begin anew.
   Outcome take(const SnapshotChunk& chunk);
+  // Accepted if after <= position < index. Before the first whole snapshot every delta is a gap.
   Outcome take(const Delta& delta);
   // The connection has ended: a snapshot that was not complete begins anew on the next one.
   void abandon_snapshot();
@@ -36,9 +39,12 @@
   Records records_;
   Index position_ = 0;
   Moved moved_;
-  std::string pieces_;  // of a snapshot under way
+  std::string pieces_;  // of a snapshot under way; empty: there is none
   Index piecing_ = 0;
   std::uint64_t total_ = 0;
+
+  bool fits(const SnapshotChunk& chunk) const;
+  Outcome complete_snapshot();
 };
 
 }  // namespace lotusyard::control
--- a/src/control/session.h
+++ b/src/control/session.h
@@ -3,11 +3,12 @@
 #pragma once
 
 #include <deque>
-#include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "control/known_nodes.h"
 #include "control/replica.h"
 #include "core/counters.h"
 
@@ -41,7 +42,7 @@
           Millis now);
 
   void tick(Millis now);
-  Millis due() const;  // when `tick` wants to be called, at the latest
+  Millis due() const;  // when `tick` wants to be called, at the latest; infinite once closed
   void connected(Millis now);
   void disconnected(Millis now);
   void received(Message&& message, Millis now);
@@ -50,7 +51,8 @@
 
   // Nothing that a change up to there forbids is under way here; reported with the next renewal.
   void set_settled(Index settled) { settled_ = settled; }
-  bool forward(const std::string& part, const std::string& word);  // false: there is no session now
+  // False: there is no session now, or the word is longer than a node takes.
+  bool forward(const std::string& part, const std::string& word);
 
   bool holds(Millis now) const { return now < lease_until_; }
   Millis lease_until() const { return lease_until_; }
@@ -70,26 +72,37 @@
   core::Counters& counters_;
   std::mt19937_64 random_;
   State state_ = State::waiting;
-  std::map<std::string, NodeAddress> nodes_;  // by address
-  std::map<std::string, Millis> not_before_;  // by address: it refused, or failed
+  KnownNodes nodes_;
   NodeAddress node_;
-  Millis next_attempt_{0}, state_since_{0}, next_renewal_{0}, lease_until_{0};
-  std::deque<Renewal> outstanding_;
-  std::uint64_t sequence_ = 0;
+  Millis next_attempt_, state_since_, next_renewal_{0}, lease_until_{0};
+  std::deque<Renewal> outstanding_;  // renewals without an answer, oldest first
+  std::uint64_t sequence_ = 0;       // of the last renewal on this connection
   Index settled_ = 0;
-  int failures_ = 0;  // on end
-  Millis leaseless_since_{0};
-  bool resuming_ = false;  // a gap was reported, and the delta behind it has not come yet
+  int failures_ = 0;                     // on end
+  std::optional<Millis> refused_since_;  // only grants of 0 have come for renewals from then on
+  bool resuming_ = false;                // a gap was reported, and nothing was applied since
 
   void attempt(Millis now);
-  const NodeAddress* choose(Millis now);
-  void lose(Millis now, Millis not_before);
-  void learn(const std::vector<NodeAddress>& nodes);
+  void leave(Millis now, const char* counter);  // ends the connection and moves
+  void move_on(Millis now);                     // the connection has ended
+  Millis next_wait();
+  double chance(double low, double high);
+  Millis silent_at() const;  // when an answer will have been outstanding for too long
+  Millis renewal_interval() const;
   void renew(Millis now);
-  void on_welcome(const Welcome& welcome, Millis now);
-  void on_refusal(const Refusal& refusal, Millis now);
-  void on_grant(const Grant& grant, Millis now);
+
+  void take(const Welcome& welcome, Millis now);
+  void take(const Refusal& refusal, Millis now);
+  void take(const Grant& grant, Millis now);
+  void take(const SnapshotChunk& chunk, Millis now);
+  void take(const Delta& delta, Millis now);
+  template <typename Other>
+  void take(const Other&, Millis now) {  // only a node receives these
+    malformed(now);
+  }
+  void granted(const Renewal& renewal, Millis duration, Millis now);
   void on_replicated(Replica::Outcome outcome, Millis now);
+  void on_gap(Millis now);
 };
 
 }  // namespace lotusyard::control
--- /dev/null
+++ b/tests/control/history.h
@@ -0,0 +1,78 @@
+// A made-up agreed log, and what the records are at each of its indexes: replayed from the start each time,
+// independently of the code under test.
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <iostream>
+#include <random>
+
+#include "breaks_here.h"
+#include "control/change.h"
+#include "control/message.h"
+
+namespace lotusyard::test {
+
+struct History {
+  struct Step {
+    control::Index index = 0;
+    control::Change change;
+  };
+  std::vector<Step> steps;  // with holes between the indexes, as other entries leave them
+
+  History(std::uint64_t seed, std::size_t count) {
+    std::mt19937_64 random(seed);
+    control::Index index = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      index += 1 + random() % 3;
+      const std::string key(1, static_cast<char>('a' + random() % 4));
+      const bool removes = random() % 4 == 0;
+      control::RecordChange one{key, std::nullopt};
+      if (!removes) one.value = "v" + std::to_string(index);
+      steps.push_back({index, {one, {"last", std::to_string(index)}}});
+    }
+  }
+  control::Index last() const { return steps.back().index; }
+  control::Records at(control::Index index) const {
+    control::Records out;
+    for (const Step& step : steps) {
+      if (step.index > index) break;
+      for (const control::RecordChange& one : step.change) {
+        out.erase(one.key);
+        if (one.value) out.emplace(one.key, *one.value);
+      }
+    }
+    return out;
+  }
+  control::Delta delta(std::size_t i) const {
+    return {i == 0 ? 0 : steps[i - 1].index, steps[i].index, control::encode_change(steps[i].change)};
+  }
+  // The number of the first step behind an index.
+  std::size_t next_after(control::Index index) const {
+    std::size_t out = 0;
+    while (out < steps.size() && steps[out].index <= index) ++out;
+    return out;
+  }
+  std::vector<control::SnapshotChunk> snapshot(control::Index index, std::size_t chunk) const {
+    const std::string bytes = control::encode_records(at(index));
+    std::vector<control::SnapshotChunk> out;
+    for (std::size_t offset = 0; offset < bytes.size(); offset += chunk)
+      out.push_back({index, offset, bytes.size(), bytes.substr(offset, chunk)});
+    return out;
+  }
+};
+
+// Whether a property holds for so many cases; a counterexample is printed, cut down, unless a rule is broken
+// on purpose.
+template <typename Property>
+bool property_holds(const char* what, int cases, const Property& property) {
+  rc::detail::TestParams params;
+  params.maxSuccess = cases;
+  params.seed = 11;
+  const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{"", what}, params);
+  const bool held = result.template is<rc::detail::SuccessResult>();
+  if (!held && broken_rule.empty()) rc::detail::printResultMessage(result, std::cerr);
+  return held;
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/control/replica_test.cpp
@@ -0,0 +1,218 @@
+// An invoker's replica: snapshots in chunks, deltas applied once and in order, and random courses of faults
+// against an independent model.
+#include "control/replica.h"
+
+#include <catch2/catch.hpp>
+
+#include "history.h"
+
+namespace lotusyard::test {
+namespace {
+
+using control::Delta;
+using control::Index;
+using control::Replica;
+using control::SnapshotChunk;
+using Outcome = Replica::Outcome;
+
+constexpr std::size_t kChunk = 16;
+
+Outcome take_all(Replica& replica, const std::vector<SnapshotChunk>& chunks) {
+  Outcome out = Outcome::malformed;
+  for (const SnapshotChunk& chunk : chunks) out = replica.take(chunk);
+  return out;
+}
+
+TEST_CASE("replica: a delta is a gap until a whole snapshot has come, then is applied once and in order") {
+  const History history(1, 8);
+  Replica replica;
+  CHECK(replica.take(history.delta(0)) == Outcome::gap);
+  const auto chunks = history.snapshot(history.steps[3].index, kChunk);
+  REQUIRE(chunks.size() > 2);
+  CHECK(replica.take(chunks[0]) == Outcome::incomplete);
+  CHECK(replica.take(history.delta(4)) == Outcome::gap);
+  CHECK_FALSE(replica.complete());
+  CHECK(take_all(replica, chunks) == Outcome::applied);
+  CHECK(replica.complete());
+  CHECK(replica.take(history.delta(3)) == Outcome::duplicate);
+  CHECK(replica.take(history.delta(5)) == Outcome::gap);
+  CHECK(replica.take(history.delta(4)) == Outcome::applied);
+  CHECK(replica.take(history.delta(4)) == Outcome::duplicate);
+  CHECK(replica.position() == history.steps[4].index);
+  CHECK(replica.records() == history.at(replica.position()));
+}
+
+TEST_CASE("replica: a delta that begins before the position and ends behind it is applied") {
+  const History history(1, 8);
+  Replica replica;
+  take_all(replica, history.snapshot(history.steps[3].index, kChunk));
+  Delta delta = history.delta(4);
+  delta.after = 0;  // there is no change between 0 and it that the replica would not have
+  CHECK(replica.take(delta) == Outcome::applied);
+  CHECK(replica.records() == history.at(delta.index));
+}
+
+TEST_CASE("replica: chunks come strictly in order, and of one snapshot") {
+  const History history(2, 30);
+  const auto older = history.snapshot(history.steps[20].index, kChunk);
+  const auto newer = history.snapshot(history.steps[29].index, kChunk);
+  REQUIRE(newer.size() > 2);
+  Replica replica;
+  CHECK(replica.take(newer[1]) == Outcome::malformed);  // not from the start
+  CHECK(replica.take(newer[0]) == Outcome::incomplete);
+  CHECK(replica.take(newer[2]) == Outcome::malformed);  // one is missing
+  CHECK(replica.take(newer[1]) == Outcome::malformed);  // it has to begin anew after that
+  CHECK(replica.take(newer[0]) == Outcome::incomplete);
+  CHECK(replica.take(older[1]) == Outcome::malformed);  // of another index
+  SnapshotChunk other_total = newer[1];
+  ++other_total.total;
+  CHECK(replica.take(newer[0]) == Outcome::incomplete);
+  CHECK(replica.take(other_total) == Outcome::malformed);
+  CHECK(replica.take(newer[0]) == Outcome::incomplete);
+  replica.abandon_snapshot();
+  CHECK(replica.take(newer[1]) == Outcome::malformed);
+  CHECK(replica.take(newer[0]) == Outcome::incomplete);
+  CHECK(take_all(replica, older) == Outcome::applied);  // another one from its start
+  CHECK(take_all(replica, newer) == Outcome::applied);
+  CHECK(take_all(replica, older) == Outcome::duplicate);
+  CHECK(take_all(replica, newer) == Outcome::duplicate);
+  CHECK(replica.position() == history.last());
+  CHECK(replica.records() == history.at(history.last()));
+}
+
+TEST_CASE("replica: what cannot be a snapshot or a change is malformed and changes nothing") {
+  const History history(3, 4);
+  Replica replica;
+  const std::string bytes = control::encode_records(history.at(history.last()));
+  const Index index = history.last();
+  CHECK(replica.take(SnapshotChunk{index, 0, control::longest_snapshot + 1, bytes}) == Outcome::malformed);
+  CHECK(replica.take(SnapshotChunk{index, 0, bytes.size() - 1, bytes}) == Outcome::malformed);
+  CHECK(replica.take(SnapshotChunk{index, 0, 0, ""}) == Outcome::malformed);
+  CHECK(replica.take(SnapshotChunk{index, 0, bytes.size(), ""}) == Outcome::malformed);
+  CHECK(replica.take(SnapshotChunk{index, 0, bytes.size() + 1, bytes + "x"}) == Outcome::malformed);
+  CHECK_FALSE(replica.complete());
+  CHECK(replica.take(SnapshotChunk{index, 0, bytes.size(), bytes}) == Outcome::applied);
+  CHECK(replica.take(Delta{index, index, history.delta(0).change}) == Outcome::malformed);
+  CHECK(replica.take(Delta{index, index + 1, "spoilt"}) == Outcome::malformed);
+  CHECK(replica.position() == index);
+  CHECK(replica.records() == history.at(index));
+}
+
+TEST_CASE("replica: who wants to know hears of each move once") {
+  const History history(4, 6);
+  Replica replica;
+  std::vector<std::pair<Index, bool>> moves;  // and whether by a snapshot
+  replica.when_moved([&](const control::Change* change) {
+    moves.emplace_back(replica.position(), change == nullptr);
+    if (change != nullptr) CHECK(*change == history.steps[4].change);
+  });
+  const Index first = history.steps[3].index;
+  take_all(replica, history.snapshot(first, kChunk));
+  replica.take(history.delta(3));
+  replica.take(history.delta(5));
+  replica.take(history.delta(4));
+  CHECK(moves == std::vector<std::pair<Index, bool>>{{first, true}, {history.steps[4].index, false}});
+}
+
+// ---- Random courses ----
+
+// A sender with faults, and beside the replica a model of what it must hold.
+struct Course {
+  History history;
+  std::mt19937_64 random;
+  Replica replica;
+  Index position = 0;      // by the model
+  Index under_way = 0;     // a snapshot, by the model; 0: none
+  std::size_t chunks = 0;  // of it that were taken
+  std::size_t cursor = 0;  // the next step to send
+
+  explicit Course(std::uint64_t seed) : history(seed, 30), random(seed + 1) {}
+
+  Outcome expected(const Delta& delta) {
+    if (position == 0) return Outcome::gap;
+    if (delta.index <= position) return Outcome::duplicate;
+    if (delta.after > position) return Outcome::gap;
+    position = delta.index;
+    return Outcome::applied;
+  }
+  Outcome expected(Index index, std::size_t number, std::size_t count) {
+    if (index <= position) return Outcome::duplicate;
+    const bool next = number == 0 || (index == under_way && number == chunks);
+    under_way = next ? index : 0;
+    chunks = next ? number + 1 : 0;
+    if (!next) return Outcome::malformed;
+    if (chunks < count) return Outcome::incomplete;
+    under_way = 0;
+    position = index;
+    return Outcome::applied;
+  }
+  void send_delta(std::size_t number) {
+    const Delta delta = history.delta(std::min(number, history.steps.size() - 1));
+    const Outcome outcome = replica.take(delta);
+    RC_ASSERT(outcome == expected(delta));
+    check();
+  }
+  void send_chunks(Index index, std::size_t from, std::size_t most) {
+    const auto all = history.snapshot(index, kChunk);
+    for (std::size_t i = from; i < std::min(all.size(), from + most); ++i) {
+      const Outcome outcome = replica.take(all[i]);
+      RC_ASSERT(outcome == expected(index, i, all.size()));
+      check();
+    }
+  }
+  void check() {
+    RC_ASSERT(replica.position() == position);
+    RC_ASSERT(replica.records() == (position == 0 ? control::Records() : history.at(position)));
+  }
+  void reconnect() {
+    replica.abandon_snapshot();
+    under_way = 0;
+    cursor = history.next_after(position);
+  }
+  void step(int what) {
+    const Index some_index = 1 + random() % history.last();
+    switch (what) {
+      case 0: cursor += 1 + random() % 3; break;                             // a loss
+      case 1: cursor -= std::min<std::size_t>(cursor, random() % 5); break;  // sent again
+      case 2: send_delta(cursor + 1); break;                                 // out of order
+      case 3: reconnect(); break;                                            // and on from where it is
+      case 4: send_chunks(some_index, 0, 1 + random() % 8); break;           // perhaps not whole
+      case 5: send_chunks(under_way == 0 ? some_index : under_way, random() % 4, 2); break;
+      case 6: send_chunks(some_index, 0, history.steps.size()); break;
+      default: send_delta(cursor++); break;
+    }
+  }
+  void finish() {
+    reconnect();
+    if (position == 0) send_chunks(history.steps[9].index, 0, history.steps.size());
+    for (cursor = history.next_after(position); cursor < history.steps.size(); ++cursor) send_delta(cursor);
+    RC_ASSERT(replica.position() == history.last());
+  }
+};
+
+bool courses_hold() {
+  return property_holds("a replica holds exactly the state at its position", 500, [] {
+    Course course(*rc::gen::inRange<std::uint64_t>(1, 1000000));
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
+    for (const int step : steps) course.step(step);
+    course.finish();
+  });
+}
+
+TEST_CASE(
+    "replica: after any course of losses, repeats, disorder and reconnects it holds its position's state") {
+  CHECK(courses_hold());
+}
+
+TEST_CASE("replica: a change that is applied twice is found") {
+  Breaks::Rule broken("apply-twice");
+  CHECK_FALSE(courses_hold());
+}
+
+TEST_CASE("replica: a change that is applied behind a gap is found") {
+  Breaks::Rule broken("accept-gap");
+  CHECK_FALSE(courses_hold());
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/control/session_rig.h
@@ -0,0 +1,133 @@
+// A session with a transport that only keeps what it is told, and a clock that the test moves.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "control/session.h"
+
+namespace lotusyard::test {
+
+using control::Index;
+using control::Millis;
+using control::NodeAddress;
+using control::Session;
+
+class KeepingTransport final : public Session::Transport {
+ public:
+  void connect(const NodeAddress& node) override {
+    CHECK_FALSE(linked);  // one connection at a time
+    linked = true;
+    connects.push_back(node);
+  }
+  void send(const std::string& frame) override {
+    CHECK(linked);
+    control::MessageReader reader(control::longest_to_node);
+    REQUIRE(reader.take(frame, sent));
+  }
+  void disconnect() override {
+    CHECK(linked);
+    linked = false;
+    ++disconnects;
+  }
+  bool linked = false;
+  int disconnects = 0;
+  std::vector<NodeAddress> connects;
+  std::vector<control::Message> sent;
+};
+
+inline NodeAddress node_at(const std::string& name, const std::string& zone, const std::string& region) {
+  return {name, name + ":7000", zone, region};
+}
+
+struct SessionRig {
+  KeepingTransport transport;
+  control::Replica replica;
+  core::Counters counters;
+  Session::Config config;
+  Millis now{10000};
+  std::unique_ptr<Session> session;
+
+  explicit SessionRig(std::vector<NodeAddress> nodes = {node_at("a", "z1", "r1"), node_at("b", "z2", "r1")},
+                      std::uint64_t seed = 1) {
+    config.cluster = "blue";
+    config.invoker = "i1";
+    config.zone = "z1";
+    config.region = "r1";
+    config.incarnation = 7;
+    config.nodes = std::move(nodes);
+    start(seed);
+  }
+  void start(std::uint64_t seed) {
+    session = std::make_unique<Session>(config, transport, replica, counters, seed, now);
+  }
+  Millis lease() const { return config.terms.lease; }
+  Millis beat() const { return config.terms.beat(); }
+
+  // Ticks whenever the session wants to, until then.
+  void run(Millis span) {
+    const Millis end = now + span;
+    while (session->due() <= end) {
+      now = std::max(now, session->due());
+      session->tick(now);
+    }
+    now = end;
+  }
+  // Ticks until the session has gone to a node; says which.
+  std::string next_connect() {
+    const std::size_t before = transport.connects.size();
+    for (int i = 0; i < 100 && transport.connects.size() == before; ++i) {
+      now = std::max(now, session->due());
+      session->tick(now);
+    }
+    REQUIRE(transport.connects.size() == before + 1);
+    return transport.connects.back().name;
+  }
+  void welcome(std::vector<NodeAddress> nodes = {}) {
+    session->connected(now);
+    session->received(control::Welcome{transport.connects.back().name, 1, std::move(nodes)}, now);
+  }
+  std::string open() {
+    const std::string node = next_connect();
+    welcome();
+    return node;
+  }
+  void lose() {
+    transport.linked = false;
+    session->disconnected(now);
+  }
+  void grant(std::uint64_t sequence, Millis duration) {
+    session->received(control::Grant{sequence, duration}, now);
+  }
+  // Answers the last renewal.
+  void grant_last(Millis duration) { grant(sent<control::Renew>().back().sequence, duration); }
+  // Renewals are answered at once, for so long.
+  void run_granting(Millis span, Millis duration) {
+    const Millis end = now + span;
+    while (session->open() && session->due() <= end) {
+      now = std::max(now, session->due());
+      session->tick(now);
+      if (session->open()) grant_last(duration);
+    }
+    now = std::max(now, end);
+  }
+  void snapshot(Index index) {
+    const std::string bytes = control::encode_records({{"k", "v" + std::to_string(index)}});
+    session->received(control::SnapshotChunk{index, 0, bytes.size(), bytes}, now);
+  }
+  void delta(Index after, Index index) {
+    const std::string bytes = control::encode_change({{"k", "v" + std::to_string(index)}});
+    session->received(control::Delta{after, index, bytes}, now);
+  }
+  template <typename Kind>
+  std::vector<Kind> sent() const {
+    std::vector<Kind> out;
+    for (const control::Message& message : transport.sent) {
+      if (const Kind* one = std::get_if<Kind>(&message)) out.push_back(*one);
+    }
+    return out;
+  }
+  std::uint64_t count(const std::string& name) const { return counters.value("control.session." + name); }
+};
+
+}  // namespace lotusyard::test
