Control nodes serve sessions, and invokers without a place in the log hold to them

Change: a member with a part control serves sessions and speaks for them in its heartbeat; an invoker with that part alone has a session. What a member did with the board, the lease and the book stands in HostUse and Enforcer, which both use. Heartbeats carry followed beside has, for invokers that go on without a lease. Measured: compiles; not run yet.

--- a/src/compliance/officer.cpp
+++ b/src/compliance/officer.cpp
@@ -8,14 +8,18 @@
 using nlohmann::json;
 using State = Certificate::State;
 
-constexpr Millis kClockError{1000};  // by so much a machine's clock may be wrong when the process starts
-constexpr int kAgain = 4;            // turns after which a proposal that changed nothing is made again
+constexpr int kAgain = 4;  // turns after which a proposal that changed nothing is made again
 const std::string kPath = "/-/compliance/";
 
 }  // namespace
 
 Officer::Officer(const Wiring& wiring, const group::Config& config, works::Crew& crew, Note note)
-    : wiring_(wiring), config_(config), crew_(crew), note_(std::move(note)) {}
+    : wiring_(wiring),
+      config_(config),
+      crew_(crew),
+      note_(std::move(note)),
+      enforcer_(
+          wiring, book_, [this] { return crew_.leased(); }, note_) {}
 
 void Officer::attach(group::Member& member) {
   member_ = &member;
@@ -23,30 +27,7 @@
   turn();
 }
 
-// What was decided while this member knew must not go out after it.
-void Officer::update() {
-  const bool knows = crew_.leased();
-  if (std::exchange(knew_, knows) && !knows && !book_.empty()) {
-    note_("lease over: nothing regulated goes out");
-    for (const auto& [name, c] : book_.certificates()) wiring_.fleet.cut(c.host);
-  }
-}
-
-Verdict Officer::may(const std::string& tenant, const std::string& host) const {
-  const auto listed = wiring_.membership.listed(host);
-  Place place{host, {}, -1};
-  if (listed) place = {host, listed->entry.zone, listed->entry.started.count()};
-  return book_.may(tenant, place, crew_.leased(), wiring_.loop.now(), kClockError);
-}
-
-bool Officer::last_look(const std::string& tenant, const std::string& host) const {
-  const Verdict verdict = may(tenant, host);
-  if (verdict.may) return true;
-  wiring_.counters.add(std::string("compliance.stopped.") + verdict.reason);
-  note_("stopped tenant=" + tenant + " regime=" + verdict.regime + " host=" + host +
-        " reason=" + verdict.reason);
-  return false;
-}
+void Officer::update() { enforcer_.update(); }
 
 void Officer::applied(std::uint64_t index, const std::string& text) {
   Entry entry;
@@ -58,6 +39,7 @@
   }
   proposed_ = Millis(0);
   const auto outcome = book_.apply(index, entry);
+  ++changes_;
   if (outcome.index != index || entry.kind == Entry::Kind::told) return;
   note_("entry=" + std::to_string(index) + ' ' + text + (outcome.done ? "" : " refused: " + outcome.why));
   if (!outcome.done || entry.kind != Entry::Kind::revoke) return;
@@ -68,6 +50,7 @@
 
 bool Officer::restore(const std::string& snapshot) {
   if (snapshot.empty()) return true;
+  ++changes_;
   return book_.restore(json::parse(snapshot, nullptr, false));
 }
 
@@ -79,6 +62,7 @@
     if (c.state != State::ending || book_.told(name, config_.member, member_->life())) continue;
     const Millis since = stopped_.try_emplace(name, now).first->second;
     if (now - since < config_.terms.last_call || !config_.serves) continue;
+    if (others_settled_ && !others_settled_(c.round)) continue;
     Entry told;
     told.kind = Entry::Kind::told;
     told.name = name;
--- a/src/compliance/officer.h
+++ b/src/compliance/officer.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "app/app.h"
-#include "compliance/book.h"
+#include "compliance/enforcer.h"
 #include "group/member.h"
 #include "works/crew.h"
 
@@ -18,9 +18,12 @@
   void attach(group::Member& member);
   void update();  // the lease may have come or gone
 
-  Verdict may(const std::string& tenant, const std::string& host) const;
-  // The same, and books a refusal: asked for the last time before something goes out.
-  bool last_look(const std::string& tenant, const std::string& host) const;
+  Enforcer& enforcer() { return enforcer_; }
+  // Whether all that this member represents have settled past an index of the log; it speaks for itself alone
+  // without one.
+  using OthersSettled = std::function<bool(std::uint64_t index)>;
+  void represent(OthersSettled others_settled) { others_settled_ = std::move(others_settled); }
+  std::uint64_t changes() const { return changes_; }  // grows whenever the book may have changed
   std::optional<console::Said> asked(const console::Request& request);
   const Book& book() const { return book_; }
 
@@ -38,10 +41,12 @@
   Note note_;
   group::Member* member_ = nullptr;
   Book book_;
+  Enforcer enforcer_;
+  OthersSettled others_settled_;
+  std::uint64_t changes_ = 0;
   net::Loop::TimerId turns_{};
   std::map<std::string, Millis> stopped_;  // by revoked certificate: since when it is not used here
   Millis proposed_{0};
-  bool knew_ = false;
 
   void turn();
   void lead();
--- a/src/control/config.cpp
+++ b/src/control/config.cpp
@@ -122,6 +122,10 @@
   return out;
 }
 
+Millis offline(const json& from) {
+  return Millis(number(from, "offline_ms", group::Terms().offline.count(), 0, 1e9));
+}
+
 group::Terms read_terms(const json& from, Millis longest_deadline) {
   const double longest = longest_deadline.count();
   group::Terms out;
@@ -129,6 +133,7 @@
   out.drift = number(from, "drift", out.drift, 0, 0.2);
   // The nodes count on it that no call here outlasts it.
   out.last_call = Millis(number(from, "last_call_ms", longest, longest, std::max(longest, 600000.0)));
+  out.offline = offline(from);
   return out;
 }
 
@@ -137,7 +142,8 @@
 std::optional<NodeConfig> read_node_config(const json& file, const group::Config& group) {
   const json& from = control_part(file);
   if (from.is_null()) return std::nullopt;
-  check_keys(from, "", {"listen", "address", "zone", "region", "sessions", "opens_per_second", "nodes"});
+  check_keys(from, "",
+             {"listen", "address", "zone", "region", "sessions", "opens_per_second", "offline_ms", "nodes"});
   if (group.cluster.size() > longest_name)
     throw config::ConfigError("configuration: group.cluster: at most " + std::to_string(longest_name) +
                               " bytes for a control node");
@@ -156,6 +162,7 @@
     if (node.address == out.self.address) fault("address", node.address + " is the address of " + node.name);
   }
   out.sessions.sessions = whole(from, "sessions", out.sessions.sessions, 1, 100000);
+  out.offline = offline(from);
   out.sessions.opens_per_second = number(from, "opens_per_second", out.sessions.opens_per_second, 1, 1e6);
   return out;
 }
@@ -163,7 +170,8 @@
 std::optional<InvokerConfig> read_invoker_config(const json& file, Millis longest_deadline) {
   const json& from = control_part(file);
   if (from.is_null() || !config::key(file, "group").is_null()) return std::nullopt;
-  check_keys(from, "", {"cluster", "nodes", "zone", "region", "lease_ms", "drift", "last_call_ms"});
+  check_keys(from, "",
+             {"cluster", "nodes", "zone", "region", "lease_ms", "drift", "last_call_ms", "offline_ms"});
   InvokerConfig out;
   out.cluster = text(from, "cluster", "cluster", nullptr);
   out.nodes = read_nodes(from);
--- a/src/control/config.h
+++ b/src/control/config.h
@@ -18,6 +18,7 @@
   NodeAddress self;                // under the member's name; `address`: where invokers reach this node
   std::vector<NodeAddress> nodes;  // the others
   SessionTable::Limits sessions;
+  Millis offline = group::Terms().offline;
 };
 
 struct InvokerConfig {
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -19,7 +19,7 @@
 bool same_duration(Millis one, Millis other) { return std::abs((one - other).count()) < kDurationUnit; }
 bool same_terms(const group::Terms& one, const group::Terms& other) {
   return same_duration(one.lease, other.lease) && same_duration(one.last_call, other.last_call) &&
-         std::abs(one.drift - other.drift) < kDriftUnit;
+         same_duration(one.offline, other.offline) && std::abs(one.drift - other.drift) < kDriftUnit;
 }
 
 }  // namespace
@@ -128,7 +128,10 @@
   link.renewed = renew.sequence;
   const Millis duration = sessions_.grant(link.session, lease_until_, now);
   counters_.add(duration.count() > 0 ? "control.granted" : "control.not_granted");
-  transport_.send(id, encode(Grant{renew.sequence, duration}));
+  Grant grant{renew.sequence, duration};
+  if (divide_ && duration.count() > 0)
+    grant.share = divide_(link.session, sessions_.lease_until(link.session));
+  transport_.send(id, encode(grant));
 }
 
 void ControlNode::on_resume(LinkId id, Link& link, const Resume& resume) {
@@ -146,7 +149,7 @@
   if (link.forwards < 1) return counters_.add("control.forwards_dropped");
   --link.forwards;
   counters_.add("control.forwarded");
-  if (forwarded_) forwarded_(forward.part, forward.word);
+  if (forwarded_) forwarded_(link.session, forward);
 }
 
 void ControlNode::on_close(LinkId id, const Link& link, Millis now) {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -38,7 +38,9 @@
     ChangeLog::Limits changes;
     std::size_t snapshot_chunk = 32U << 10;
   };
-  using Forwarded = std::function<void(const std::string& part, const std::string& word)>;
+  using Forwarded = std::function<void(SessionTable::SessionId session, const Forward& forward)>;
+  // The share of a session for a lease that ends then by the node's clock; nothing: the node divides nothing.
+  using Divide = std::function<std::optional<double>(SessionTable::SessionId session, Millis lease_until)>;
 
   ControlNode(Config config, Transport& transport, core::Counters& counters, Millis started);
 
@@ -52,6 +54,8 @@
   void set_nodes(std::vector<NodeAddress> nodes);
   void when_forwarded(Forwarded forwarded) { forwarded_ = std::move(forwarded); }
 
+  void divide_by(Divide divide) { divide_ = std::move(divide); }
+
   // From the transport.
   void opened(LinkId link);
   void received(LinkId link, Message&& message, Millis now);
@@ -82,6 +86,7 @@
   SessionTable sessions_;
   std::vector<NodeAddress> nodes_;
   Forwarded forwarded_;
+  Divide divide_;
   std::map<LinkId, Link> links_;
   std::map<SessionTable::SessionId, LinkId> link_of_;
   Millis lease_until_{0};
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -15,6 +15,7 @@
 constexpr double kMicroseconds = 1000;          // durations go out in these
 constexpr double kLongestDuration = 1e9;        // in milliseconds; longer ones are malformed
 constexpr std::uint64_t kDriftUnits = 1000000;  // the drift goes out in millionths
+constexpr double kShareUnits = 1e15;            // and shares of 1 in these
 
 // The kinds on the wire; each stands for one alternative of `Message`.
 enum class Kind : std::uint8_t {
@@ -38,6 +39,11 @@
   put_duration(out, terms.lease);
   put64(out, static_cast<std::uint64_t>(terms.drift * static_cast<double>(kDriftUnits) + 0.5));
   put_duration(out, terms.last_call);
+  put_duration(out, terms.offline);
+}
+void put_share(std::string& out, const std::optional<double>& share) {
+  put8(out, share ? 1 : 0);
+  put64(out, share && *share > 0 ? static_cast<std::uint64_t>(*share * kShareUnits) : 0);
 }
 void put_nodes(std::string& out, const std::vector<NodeAddress>& nodes) {
   const std::size_t count = std::min(nodes.size(), most_nodes_told);
@@ -72,8 +78,15 @@
     out.lease = duration();
     out.drift = static_cast<double>(number(8)) / static_cast<double>(kDriftUnits);
     out.last_call = duration();
+    out.offline = duration();
     return out;
   }
+  std::optional<double> share() {
+    const std::uint64_t told = number(1);
+    const double out = static_cast<double>(number(8)) / kShareUnits;
+    if (told > 1 || out > 1) valid_ = false;
+    return told == 1 ? std::optional<double>(out) : std::nullopt;
+  }
   std::vector<NodeAddress> nodes() {
     std::vector<NodeAddress> out;
     const std::uint64_t count = number(4);
@@ -134,6 +147,7 @@
   Kind operator()(const Grant& m) {
     put64(out, m.sequence);
     put_duration(out, m.duration);
+    put_share(out, m.share);
     return Kind::grant;
   }
   Kind operator()(const SnapshotChunk& m) {
@@ -201,6 +215,7 @@
   Grant out;
   out.sequence = body.number(8);
   out.duration = body.duration();
+  out.share = body.share();
   return out;
 }
 
--- a/src/control/message.h
+++ b/src/control/message.h
@@ -77,10 +77,12 @@
 };
 
 // Node to invoker: the lease lasts for `duration` from the moment at which the invoker sent the renewal of
-// that sequence number, by the invoker's own clock. 0: no lease.
+// that sequence number, by the invoker's own clock. 0: no lease. `share`: what this invoker may use, for as
+// long, of what the group divides among all; absent: the node divides nothing.
 struct Grant {
   std::uint64_t sequence = 0;
   Millis duration{0};
+  std::optional<double> share = std::nullopt;
 };
 
 // Node to invoker: a piece of the encoded state as of `index`. Pieces come in order, from offset 0 on.
--- a/src/control/node_server.h
+++ b/src/control/node_server.h
@@ -36,6 +36,7 @@
   bool listen(const std::string& address);
   std::string address() const { return net::bound_address(listener_); }
   ControlNode& node() { return node_; }
+  const ControlNode& node() const { return node_; }
   std::size_t links() const { return links_.size(); }
   std::size_t pooled() const { return pool_.out() * net::BufferPool::block_size; }  // bytes held by all links
 
--- a/src/control/session.h
+++ b/src/control/session.h
@@ -57,6 +57,8 @@
   bool holds(Millis now) const { return now < lease_until_; }
   Millis lease_until() const { return lease_until_; }
   bool ever_held() const { return lease_until_.count() > 0; }
+  // What this invoker may use of what the group divides, while the lease holds; nothing: nothing is divided.
+  const std::optional<double>& share() const { return share_; }
   bool open() const { return state_ == State::open; }
   const NodeAddress& node() const { return node_; }  // the one that it is at, or goes to
 
@@ -78,6 +80,7 @@
   std::deque<Renewal> outstanding_;  // renewals without an answer, oldest first
   std::uint64_t sequence_ = 0;       // of the last renewal on this connection
   Index settled_ = 0;
+  std::optional<double> share_;
   int failures_ = 0;                     // on end
   std::optional<Millis> refused_since_;  // only grants of 0 have come for renewals from then on
   bool resuming_ = false;                // a gap was reported, and nothing was applied since
@@ -100,7 +103,7 @@
   void take(const Other&, Millis now) {  // only a node receives these
     malformed(now);
   }
-  void granted(const Renewal& renewal, Millis duration, Millis now);
+  void granted(const Renewal& renewal, const Grant& grant, Millis now);
   void on_replicated(Replica::Outcome outcome, Millis now);
   void on_gap(Millis now);
 };
--- a/src/control/session_client.h
+++ b/src/control/session_client.h
@@ -21,6 +21,8 @@
 
   Session& session() { return session_; }
   Replica& replica() { return replica_; }
+  const Session& session() const { return session_; }
+  const Replica& replica() const { return replica_; }
 
   // For the session.
   void connect(const NodeAddress& node) override;
--- a/src/control/session_table.cpp
+++ b/src/control/session_table.cpp
@@ -18,6 +18,7 @@
       limits_(limits),
       log_(log),
       started_(started),
+      offline_floor_(terms, started + terms.silent()),
       tokens_(limits.opens_at_once),
       filled_at_(started) {}
 
@@ -43,6 +44,7 @@
   session.invoker = invoker;
   session.incarnation = incarnation;
   session.connected = true;
+  session.closed = false;
   session.applied = position;
   return {id, false, {}, Millis(0)};
 }
@@ -97,6 +99,7 @@
   if (found == sessions_.end()) return;
   auto& lease_until = found->second.lease_until;
   if (lease_until) lease_until = std::min(*lease_until, now);
+  found->second.closed = true;
   disconnected(id);
 }
 
@@ -109,6 +112,8 @@
 }
 
 void SessionTable::forget(std::map<SessionId, Session>::iterator session) {
+  if (session->second.lease_until && !session->second.closed)
+    offline_floor_.vanished(*session->second.lease_until);
   by_invoker_.erase({session->second.invoker, session->second.incarnation});
   sessions_.erase(session);
 }
@@ -124,8 +129,19 @@
   reported_ = std::max(reported_, applied);
   // An earlier process of this node may have granted leases until shortly before this one started.
   const bool may_have_earlier = now < started_ + terms_.silent() && !breaks("early-report");
-  if (may_have_earlier) return {0, 0, connected_};
-  return {reported_, std::min(settled, reported_), connected_};
+  if (may_have_earlier) return {0, 0, 0, connected_};
+  offline_floor_.reported(reported_, now);
+  const Index followed = std::min(reported_, offline_floor_.followed(known_floor(), now));
+  return {reported_, std::min(settled, reported_), followed, connected_};
+}
+
+// Sessions that never had a lease use no host.
+Index SessionTable::known_floor() const {
+  Index out = log_.applied();
+  for (const auto& [id, session] : sessions_) {
+    if (session.lease_until && !session.closed) out = std::min(out, log_.covered(session.applied));
+  }
+  return out;
 }
 
 Millis SessionTable::lease_until(SessionId id) const {
--- a/src/control/session_table.h
+++ b/src/control/session_table.h
@@ -15,13 +15,15 @@
 
 #include "control/change_log.h"
 #include "control/message.h"
+#include "control/offline_floor.h"
 
 namespace lotusyard::control {
 
 // What a node tells the group of all its sessions.
 struct Floors {
-  Index applied = 0;         // every session that can hold a lease has applied everything up to here
-  Index settled = 0;         // and nothing that a change up to here forbids is under way at any of them
+  Index applied = 0;   // every session that can hold a lease has applied everything up to here
+  Index settled = 0;   // and nothing that a change up to here forbids is under way at any of them
+  Index followed = 0;  // every invoker that may use hosts, with a lease or without, has applied this much
   std::size_t sessions = 0;  // connected ones
 };
 
@@ -73,6 +75,7 @@
     std::string invoker;
     std::uint64_t incarnation = 0;
     bool connected = false;
+    bool closed = false;  // its invoker has ended
     Index applied = 0, settled = 0;
     std::optional<Millis> lease_until;  // nothing: it never had one
   };
@@ -86,10 +89,12 @@
   std::size_t connected_ = 0;
   Index reported_ = 0;
   Millis granted_under_{0};  // the latest end of the node's own lease under which `grant` was asked
+  OfflineFloor offline_floor_;
   double tokens_ = 0;
   Millis filled_at_{0};
 
   bool counts_for_applied(const Session& session, Millis now) const;
+  Index known_floor() const;
   bool counts_for_settled(const Session& session, Millis now) const;
   Millis take_token(Millis now);  // 0: one was to be had; else when to try again
   void forget(std::map<SessionId, Session>::iterator session);
--- a/src/control/session_takes.cpp
+++ b/src/control/session_takes.cpp
@@ -37,14 +37,15 @@
   if (found == outstanding_.end()) return counters_.add("control.session.grants_unknown");
   const Renewal renewal = *found;
   outstanding_.erase(outstanding_.begin(), found + 1);  // earlier ones are not answered any more
-  granted(renewal, grant.duration, now);
+  granted(renewal, grant, now);
 }
 
-void Session::granted(const Renewal& renewal, Millis duration, Millis now) {
-  if (duration.count() > 0) {
+void Session::granted(const Renewal& renewal, const Grant& grant, Millis now) {
+  if (grant.duration.count() > 0) {
     counters_.add("control.session.grants");
     const Millis from = breaks("grant-from-receipt") ? now : renewal.sent;
-    lease_until_ = std::max(lease_until_, from + duration);
+    lease_until_ = std::max(lease_until_, from + grant.duration);
+    share_ = grant.share;
     refused_since_.reset();
     failures_ = 0;
     nodes_.worked();
--- a/src/group/member.cpp
+++ b/src/group/member.cpp
@@ -110,7 +110,11 @@
 // Danger: an entry that is skipped leaves this member with another state than those that know its kind.
 void Member::applied(std::uint64_t index, const std::string& entry) {
   const auto [kind, text] = untagged(entry);
-  if (Part* part = part_of(kind)) return part->applied(index, text);
+  if (Part* part = part_of(kind)) {
+    part->applied(index, text);
+    if (observer_ != nullptr) observer_->log_applied(index);
+    return;
+  }
   counters_.add("group.unknown_entries");
   failed("entry " + std::to_string(index) +
          " of the log is of a kind that this program does not know: " + kind.substr(0, 40));
@@ -128,10 +132,12 @@
   for (const auto& [kind, text] : *read) {
     if (part_of(kind) == nullptr) return false;
   }
-  return std::all_of(parts_.begin(), parts_.end(), [&](Part* part) {
+  const bool restored = std::all_of(parts_.begin(), parts_.end(), [&](Part* part) {
     const auto found = read->find(part->kind());
     return part->restore(found == read->end() ? std::string() : found->second);
   });
+  if (restored && observer_ != nullptr) observer_->log_restored();
+  return restored;
 }
 
 void Member::receive(const Hello& from, Frame&& frame) {
--- a/src/group/member.h
+++ b/src/group/member.h
@@ -18,6 +18,14 @@
  public:
   using Note = Links::Note;
 
+  // Told of the log as a whole, once all parts have taken in what came.
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    virtual void log_applied(std::uint64_t index) = 0;
+    virtual void log_restored() = 0;  // the state was replaced by a snapshot of an index not told
+  };
+
   // A frame of the kind `view`, from whoever was let in; it needs no agreement.
   using Heard = std::function<void(const std::string& member, const std::string& body)>;
 
@@ -40,6 +48,7 @@
   bool propose(const Part& part, const std::string& entry, std::function<void(bool)> done = {});
   // False: nobody is known to lead, or nothing goes out there.
   bool tell_leader(const Part& part, const std::string& word);
+  void observe(Observer* observer) { observer_ = observer; }  // one; null: none
   void hear_views(Heard heard) { heard_ = std::move(heard); }
   bool send_view(const std::string& address, const std::string& body);  // to whoever listens there
   std::size_t stored() const { return store_.bytes(); }
@@ -50,6 +59,7 @@
   const Config config_;
   std::vector<Part*> parts_;
   Heard heard_;
+  Observer* observer_ = nullptr;
   Note note_;
   Store store_;
   Identity identity_;
--- a/src/node/control_role.cpp
+++ b/src/node/control_role.cpp
@@ -27,7 +27,7 @@
 }  // namespace
 
 ControlRole::ControlRole(const Wiring& wiring, const group::Config& group, const control::NodeConfig& config,
-                         group::Member& member, works::Coordinator& coordinator, compliance::Officer& officer,
+                         group::Member& member, works::Crew& coordinator, compliance::Officer& officer,
                          const group::Lease& lease, Note note)
     : wiring_(wiring),
       coordinator_(coordinator),
@@ -73,9 +73,11 @@
   server_.node().set_lease(holds ? lease_.until() : works::Millis(0));
 }
 
-void ControlRole::set_share(double share, std::uint64_t index) {
+// Danger: a smaller part holds from the entry on that is being applied now, which is not counted as applied
+// yet.
+void ControlRole::set_share(double share) {
   shares_told_ = true;
-  allotment_.set_part(share, index);
+  allotment_.set_part(share, server_.node().changes().applied() + 1);
 }
 
 std::optional<double> ControlRole::share_of(control::SessionTable::SessionId session,
@@ -84,11 +86,11 @@
   return allotment_.grant(session, server_.node().sessions().connected(), lease_until, now());
 }
 
-works::Coordinator::Represented ControlRole::represented() {
+works::Crew::Represented ControlRole::represented() {
   const auto known = [this](SessionViews::SessionId id) { return server_.node().sessions().known(id); };
   views_.retain(known);
   floors_ = server_.node().floors(now());
-  return {allotment_.respected(floors_.followed, now()), floors_.settled};
+  return {allotment_.respected(floors_.applied, now()), floors_.followed, floors_.settled};
 }
 
 void ControlRole::forwarded(control::SessionTable::SessionId session, const control::Forward& forward) {
@@ -97,7 +99,7 @@
 }
 
 json ControlRole::shown() const {
-  const auto& sessions = const_cast<control::NodeServer&>(server_).node().sessions();
+  const auto& sessions = server_.node().sessions();
   return {{"sessions", sessions.connected()},
           {"counted", sessions.size()},
           {"applied", floors_.applied},
--- a/src/node/control_role.h
+++ b/src/node/control_role.h
@@ -13,7 +13,7 @@
 #include "group/member.h"
 #include "node/session_views.h"
 #include "shares/sharing.h"
-#include "works/coordinator.h"
+#include "works/crew.h"
 
 namespace lotusyard::node {
 
@@ -22,7 +22,7 @@
   using Note = std::function<void(const std::string& text)>;
   // All that it is given outlives it. Throws config::ConfigError if it cannot listen.
   ControlRole(const Wiring& wiring, const group::Config& group, const control::NodeConfig& config,
-              group::Member& member, works::Coordinator& coordinator, compliance::Officer& officer,
+              group::Member& member, works::Crew& coordinator, compliance::Officer& officer,
               const group::Lease& lease, Note note);
   ~ControlRole() override;
 
@@ -30,14 +30,14 @@
   void log_applied(std::uint64_t index) override;
   void log_restored() override { renewed_ = true; }
 
-  void follow();                                      // the lease may have come or gone
-  void set_share(double share, std::uint64_t index);  // this node's part of a cold host's budget
-  void leave() { server_.node().leave(); }            // the process ends
+  void follow();                            // the lease may have come or gone
+  void set_share(double share);             // this node's part of a cold host's budget
+  void leave() { server_.node().leave(); }  // the process ends
   nlohmann::json shown() const;
 
  private:
   Wiring wiring_;
-  works::Coordinator& coordinator_;
+  works::Crew& coordinator_;
   compliance::Officer& officer_;
   const group::Lease& lease_;
   Note note_;
@@ -52,7 +52,7 @@
 
   works::Millis now() const { return wiring_.loop.now(); }
   std::uint64_t version() const { return coordinator_.changes() + officer_.changes(); }
-  works::Coordinator::Represented represented();
+  works::Crew::Represented represented();
   void forwarded(control::SessionTable::SessionId session, const control::Forward& forward);
   std::optional<double> share_of(control::SessionTable::SessionId session, works::Millis lease_until);
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "node/lines.h"
+#include "node/session_member.h"
 
 namespace lotusyard::node {
 namespace {
@@ -15,12 +16,13 @@
 
 }  // namespace
 
-Node::Node(const Wiring& wiring, const group::Config& config)
+Node::Node(const Wiring& wiring, const group::Config& config,
+           const std::optional<control::NodeConfig>& control)
     : wiring_(wiring),
       config_(config),
       lease_(config.terms, wiring.loop.now()),
       crew_(wiring, config_, lease_, [this](const std::string& text) { note("works", text); }),
-      sharing_(wiring, config_, crew_, [this](const std::string& text) { note("shares", text); }),
+      sharing_(sharing_wiring(), config_, crew_, [this](const std::string& text) { note("shares", text); }),
       officer_(wiring, config_, crew_, [this](const std::string& text) { note("compliance", text); }),
       member_(wiring.loop, wiring.counters, config_, {&crew_, &sharing_, &officer_},
               [this](const std::string& text) { note("works", text); }) {
@@ -28,6 +30,11 @@
   crew_.attach(member_);
   officer_.attach(member_);
   crew_.when_changed([this] { follow(); });
+  if (control) {
+    control_.emplace(wiring, config_, *control, member_, crew_, officer_, lease_,
+                     [this](const std::string& text) { note("control", text); });
+    follow();
+  }
   if (config_.view) {
     viewer_.emplace(
         wiring, config_, member_, [this](const std::string& host) { return crew_.sees_down(host); },
@@ -48,41 +55,35 @@
 // Parts and standing hang on the lease, on the log and on the view.
 void Node::follow() {
   officer_.update();
+  if (control_) control_->follow();
   if (!viewer_) return;
   if (crew_.ready() && config_.serves) viewer_->serve();
   sharing_.update(viewer_->seen());
 }
 
+// The member's part of what all may send a cold host goes to its sessions where it has any.
+Wiring Node::sharing_wiring() {
+  Wiring out = wiring_;
+  out.set_share = [this](double share) {
+    if (control_) return control_->set_share(share);
+    wiring_.set_share(share);
+  };
+  return out;
+}
+
+void Node::drain() {
+  if (viewer_) viewer_->leave();
+  if (control_) control_->leave();
+}
+
 // Asked by the module for each host that it considers. List, hand and works have had their say before: what
 // they leave out is no host to the module.
 bool Node::open(const std::string& tenant, std::uint64_t function, const std::string& host) {
-  if (officer_.book().empty()) return true;
-  if (tenant_of_.size() >= functions_most) tenant_of_.clear();  // the one place where it shrinks
-  tenant_of_[function] = tenant;
-  return officer_.may(tenant, host).may;
+  return officer_.enforcer().considers(tenant, function, host);
 }
 
-// Danger: between the module's choice and the kernel a lease may have ended, or a revocation have come.
 bool Node::may_send(const std::string& host, const core::Call* call, std::uint64_t function) {
-  if (!crew_.may_send(host)) return false;
-  if (officer_.book().empty()) return true;
-  if (call != nullptr) return officer_.last_look(call->tenant, host);
-  if (function == 0) return true;  // it only asks
-  const auto found = tenant_of_.find(function);
-  return found != tenant_of_.end() && officer_.last_look(found->second, host);
-}
-
-void Node::refused(const core::Call& call) {
-  if (officer_.book().empty()) return;
-  compliance::Verdict verdict;
-  for (const auto& [host, member] : wiring_.membership.hosts()) {
-    verdict = officer_.may(call.tenant, host);
-    if (verdict.may) return;  // not refused by these rules
-  }
-  if (verdict.may) return;
-  wiring_.counters.add(std::string("compliance.refused.") + verdict.reason);
-  note("compliance",
-       "refused tenant=" + call.tenant + " regime=" + verdict.regime + " reason=" + verdict.reason);
+  return crew_.may_send(host) && officer_.enforcer().may_send(host, call, function);
 }
 
 void Node::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
@@ -115,23 +116,29 @@
   }
   for (const auto& s : member_.servers())
     servers.push_back({{"id", s.id}, {"address", s.address}, {"role", role_name(s.role)}});
-  return {{"member", config_.member},
-          {"id", member_.id()},
-          {"life", member_.life()},
-          {"term", member_.term()},
-          {"leader", member_.leader()},
-          {"leads", member_.leads()},
-          {"index", board.index()},
-          {"lease_ms", std::max(0.0, std::round((lease_.until() - wiring_.loop.now()).count()))},
-          {"failed", crew_.has_failed()},
-          {"store_bytes", member_.stored()},
-          {"servers", servers},
-          {"members", members}};
+  json out = {{"member", config_.member},
+              {"id", member_.id()},
+              {"life", member_.life()},
+              {"term", member_.term()},
+              {"leader", member_.leader()},
+              {"leads", member_.leads()},
+              {"index", board.index()},
+              {"lease_ms", std::max(0.0, std::round((lease_.until() - wiring_.loop.now()).count()))},
+              {"failed", crew_.has_failed()},
+              {"store_bytes", member_.stored()},
+              {"servers", servers},
+              {"members", members}};
+  if (control_) out["control"] = control_->shown();
+  return out;
 }
 
 std::unique_ptr<Companion> make_node(const Wiring& wiring, const json& file) {
-  const auto config = group::read_config(file, wiring.name, core::longest_deadline(wiring.settings()));
-  return config ? std::make_unique<Node>(wiring, *config) : nullptr;
+  const auto longest_deadline = core::longest_deadline(wiring.settings());
+  if (const auto config = group::read_config(file, wiring.name, longest_deadline))
+    return std::make_unique<Node>(wiring, *config, control::read_node_config(file, *config));
+  if (const auto config = control::read_invoker_config(file, longest_deadline))
+    return std::make_unique<SessionMember>(wiring, *config);
+  return nullptr;
 }
 
 }  // namespace lotusyard::node
--- a/src/works/board.cpp
+++ b/src/works/board.cpp
@@ -68,6 +68,7 @@
         if (found == members_.end() || found->second.life != beat.life) continue;
         Member& m = found->second;
         m.has = std::max(m.has, beat.has);
+        m.followed = std::max(m.followed, beat.followed.value_or(beat.has));
         m.drained = beat.drained;
         m.seen = now;
         if (beat.view) m.view = *beat.view;
@@ -78,7 +79,7 @@
     case Kind::join:
       if (e.member.empty() || e.life <= last_life(e.member)) return "member: this life is not a new one";
       lives_[e.member] = e.life;
-      members_[e.member] = Member{e.life, e.serves, 0, {}, {}, false, now};
+      members_[e.member] = Member{e.life, e.serves, 0, 0, {}, {}, false, now};
       return {};
     case Kind::leave: return members_.erase(e.member) == 0 ? "member: no such member" : std::string();
     case Kind::add: return add(e, now);
@@ -197,7 +198,7 @@
   if (w.state != Work::State::running) return "work: " + w.id + " is " + name_of(w.state);
   // Danger: a member that does not know that this host may be next would go on using it without its lease.
   for (const auto& [name, m] : members_) {
-    if (m.serves && m.has < host.round)
+    if (m.serves && m.followed < host.round)
       return "member " + name + " does not know that " + host.key.id + " is next";
   }
   const std::string over = over_bounds(w, host.key, listed());
@@ -297,6 +298,7 @@
   for (const auto& [name, m] : members_) {
     Beat beat{name, m.life, 0, m.has, m.drained, std::nullopt};
     if (m.told) beat.view = m.view;
+    if (m.followed != m.has) beat.followed = m.followed;
     json row = worded_beat(beat);
     row["serves"] = m.serves;
     members.push_back(row);
@@ -334,8 +336,13 @@
       const auto beat = read_beat(row);
       if (!beat) return false;
       Member& m = next.members_[beat->member];
-      m = {beat->life, row.at("serves").get<bool>(), beat->has, beat->drained,
-           {},         beat->view.has_value(),       now};
+      m.life = beat->life;
+      m.serves = row.at("serves").get<bool>();
+      m.has = beat->has;
+      m.followed = beat->followed.value_or(beat->has);
+      m.drained = beat->drained;
+      m.told = beat->view.has_value();
+      m.seen = now;
       if (beat->view) m.view = *beat->view;
     }
     for (const auto& row : from.at("outcomes")) {
--- a/src/works/board.h
+++ b/src/works/board.h
@@ -26,6 +26,7 @@
     std::uint64_t life = 0;
     bool serves = true;
     std::uint64_t has = 0;
+    std::uint64_t followed = 0;  // as of its signs of life: `has`, or less where it represents others
     std::set<std::string> drained;
     View view;
     bool told = false;  // whether it has said what it sees
--- a/src/works/crew.cpp
+++ b/src/works/crew.cpp
@@ -25,7 +25,7 @@
       lease_(lease),
       note_(std::move(note)),
       order_(config.terms),
-      counted_at_(wiring.loop.now()) {}
+      host_use_(wiring, note_) {}
 
 Crew::~Crew() {
   for (const auto& timer : {beats_, turns_, lease_ends_}) wiring_.loop.cancel(timer);
@@ -42,60 +42,27 @@
 
 bool Crew::may_send(const std::string& host) {
   before_writes();
-  return !leaving_.left(host) && lease_.ever();
+  return !host_use_.left(host) && lease_.ever();
 }
 
 // Danger: a process that was stopped for longer than its lease goes on where it was, with calls decided and
 // not yet written.
 void Crew::before_writes() {
-  if (leased_ && !lease_.holds(now())) follow();
+  if (host_use_.leased() && !lease_.holds(now())) follow();
 }
 
 void Crew::follow() {
-  const bool leased = !failed_ && (lease_.holds(now()) || (breaks("lease") && lease_.ever()));
-  if (leased != leased_) {
-    note_(leased          ? "lease held"
-          : lease_.ever() ? "lease over: hosts that may be next are left alone"
-                          : "no lease yet");
-    wiring_.counters.add(leased ? "works.leases" : "works.leases_over");
-  }
-  const bool ended = leased_ && !leased;
-  leased_ = leased;
+  Knowledge knowledge;
+  knowledge.leased = !failed_ && (lease_.holds(now()) || (breaks("lease") && lease_.ever()));
+  knowledge.held_back = config_.serves && !lease_.ever();
   wiring_.loop.cancel(lease_ends_);
   if (lease_.holds(now())) lease_ends_ = wiring_.loop.at(lease_.until(), [this] { follow(); });
-  const auto change = leaving_.follow(board_, leased, wiring_.membership.hosts());
-  for (const auto& line : change.lines) note_(line);
-  wiring_.membership.works(change.out, change.anew, now());
-  wiring_.membership.hold_all(config_.serves && !lease_.ever());
-  // What was decided while the lease held must not go out after it.
-  for (const auto& host : change.out) {
-    if (ended) wiring_.fleet.cut(host);
-  }
+  host_use_.follow(board_, knowledge);
   if (changed_) changed_();
 }
 
 void Crew::attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) {
-  using core::Outcome;
-  if (outcome == Outcome::ok) {
-    const auto* cls = core::class_named(wiring_.settings(), call.class_name);
-    watch_.served(host, call.function, cls == nullptr ? 1 : cls->worth, now());
-  } else if (outcome == Outcome::connect_failed || outcome == Outcome::reset) {
-    watch_.failed(host, now());
-  }
-}
-
-View Crew::view() {
-  View out = leaving_.see(board_, watch_, wiring_.membership.hosts(), wiring_.membership.out(), now());
-  const auto& counters = wiring_.counters;
-  const double taken = static_cast<double>(counters.value("calls.taken"));
-  const double lost = static_cast<double>(counters.value("calls.refused") + counters.value("calls.failed"));
-  const double seconds = std::max(0.001, (now() - counted_at_).count() / 1000);
-  out.asked = std::round((taken - taken_) / seconds);
-  out.lost = std::round((lost - lost_) / seconds);
-  taken_ = taken;
-  lost_ = lost;
-  counted_at_ = now();
-  return out;
+  host_use_.attempt_ended(host, call, outcome);
 }
 
 // ---- What this member tells ----
@@ -117,13 +84,14 @@
     join.life = member_->life();
     return tell({{"e", worded(join)}});
   }
-  Beat out{name(), member_->life(), now().count(), board_.index(), {}, view()};
-  for (const auto& [id, h] : board_.hosts()) {
-    const bool gone = h.stage == Stage::leaving || h.stage == Stage::out;
-    if (!gone || !leaving_.left(id)) continue;
-    const bool free = lease_.earlier_ended(now()) && wiring_.fleet.free_of_calls(id);
-    if (free || breaks("drain")) out.drained.insert(id);
+  Beat out{name(), member_->life(), now().count(), board_.index(), {}, host_use_.see(board_)};
+  const auto others = represent_ ? std::optional<Represented>(represent_()) : std::nullopt;
+  if (others) {
+    out.has = std::min(out.has, others->applied);
+    out.followed = std::min(out.has, others->followed);
   }
+  if (merge_views_) out.view = merge_views_(std::move(*out.view));
+  out.drained = drained(others ? &*others : nullptr);
   json worded_out = worded_beat(out);
   std::string seen = worded_out["v"].dump();
   if (seen == told_view_ && ++untold_ < kViewEvery) {
@@ -135,6 +103,18 @@
   tell({{"b", worded_out}});
 }
 
+std::set<std::string> Crew::drained(const Represented* others) const {
+  std::set<std::string> out;
+  for (const auto& [id, h] : board_.hosts()) {
+    const bool gone = h.stage == Stage::leaving || h.stage == Stage::out;
+    if (!gone || !host_use_.left(id)) continue;
+    const bool free = lease_.earlier_ended(now()) && wiring_.fleet.free_of_calls(id);
+    const bool others_free = others == nullptr || others->settled >= h.round;
+    if ((free && others_free) || breaks("drain")) out.insert(id);
+  }
+  return out;
+}
+
 // ---- What was agreed upon ----
 
 void Crew::applied(std::uint64_t index, const std::string& wording) {
@@ -153,11 +133,12 @@
       const bool holds = mine != board_.members().end() && mine->second.life == beat.life;
       if (holds && beat.member == name() && beat.life == member_->life()) lease_.agreed(beat.stamp);
     }
-    if (!leased_) return follow();
+    if (!host_use_.leased()) return follow();
     return changed_ ? changed_() : void();
   }
   // What came again under one proposal has had its outcome.
   if (entry->kind == Kind::ask || outcome.index != index) return;
+  ++changes_;
   note_entry(*entry, outcome);
   if (outcome.done && entry->kind == Kind::leave && entry->member == name()) begin_anew();
   follow();
@@ -191,6 +172,7 @@
 bool Crew::restore(const std::string& from) {
   if (from.empty()) return true;
   const json read = json::parse(from, nullptr, false);
+  ++changes_;
   return read.is_object() && board_.restore(read, now());
 }
 
--- a/src/works/crew.h
+++ b/src/works/crew.h
@@ -9,9 +9,8 @@
 #include "app/app.h"
 #include "group/member.h"
 #include "works/board.h"
-#include "works/leaving.h"
+#include "works/host_use.h"
 #include "works/order.h"
-#include "works/watch.h"
 
 namespace lotusyard::works {
 
@@ -29,9 +28,23 @@
   void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome);
   std::optional<console::Said> asked(const console::Request& request);
   const Board& board() const { return board_; }
-  bool sees_down(const std::string& host) const { return watch_.down(host, now()); }
+  bool sees_down(const std::string& host) const { return host_use_.sees_down(host); }
   bool leased() const { return !failed_ && lease_.holds(now()); }
   bool has_failed() const { return failed_; }
+  // What this member says for others that it represents, beside what it says for itself, each up to an index
+  // of the log: what all that hold a lease have applied, what all have applied that go on with a lease or
+  // without, and what nothing that is under way at any of them goes against.
+  struct Represented {
+    std::uint64_t applied = 0, followed = 0, settled = 0;
+  };
+  using Represent = std::function<Represented()>;
+  using MergeViews = std::function<View(View own)>;
+  void represent(Represent represent, MergeViews merge_views) {
+    represent_ = std::move(represent);
+    merge_views_ = std::move(merge_views);
+  }
+  // Grows whenever the board may have changed in more than signs of life.
+  std::uint64_t changes() const { return changes_; }
   // Told whenever an entry has been applied, or the lease has come or gone.
   void when_changed(std::function<void()> changed) { changed_ = std::move(changed); }
   // The one member that leads, once all that was agreed before it has been applied here.
@@ -52,17 +65,18 @@
   group::Member* member_ = nullptr;
   Board board_;
   Order order_;
-  Watch watch_;
-  Leaving leaving_;
+  HostUse host_use_;
+  Represent represent_;
+  MergeViews merge_views_;
+  std::uint64_t changes_ = 0;
   std::map<std::string, Beat> heard_;  // at the one that leads: what is not in the log yet
   std::function<void()> changed_;
   net::Loop::TimerId beats_{}, turns_{}, lease_ends_{};
-  bool leased_ = false, failed_ = false, in_flight_ = false;
+  bool failed_ = false, in_flight_ = false;
   std::uint64_t led_term_ = 0, readying_term_ = 0;
   std::string told_view_, waits_;
   int untold_ = 0;
-  Millis counted_at_{0}, flown_at_{0};
-  double taken_ = 0, lost_ = 0;
+  Millis flown_at_{0};
 
   Millis now() const { return wiring_.loop.now(); }
   const std::string& name() const { return config_.member; }
@@ -70,7 +84,7 @@
   void beat();
   void turn();
   void propose(const Entry& entry);
-  View view();
+  std::set<std::string> drained(const Represented* others) const;
   void tell(const nlohmann::json& word);
   void told_beat(Beat&& beat);
   void begin_anew();
--- a/src/works/entry.cpp
+++ b/src/works/entry.cpp
@@ -97,6 +97,7 @@
   json out = {{"m", beat.member}, {"l", beat.life}, {"s", beat.stamp}, {"h", beat.has}};
   if (!beat.drained.empty()) out["d"] = beat.drained;
   if (beat.view) out["v"] = worded_view(*beat.view);
+  if (beat.followed) out["f"] = *beat.followed;
   return out;
 }
 
@@ -111,6 +112,7 @@
       return std::nullopt;
     if (from.contains("d")) from.at("d").get_to(out.drained);
     if (from.contains("v")) out.view = read_view(from.at("v"));
+    if (from.contains("f")) out.followed = from.at("f").get<std::uint64_t>();
     return out;
   } catch (const json::exception&) { return std::nullopt; }
 }
--- a/src/works/entry.h
+++ b/src/works/entry.h
@@ -56,7 +56,10 @@
   double stamp = 0;
   std::uint64_t has = 0;
   std::set<std::string> drained;  // hosts that take no call of this member's any more, and hold none
-  std::optional<View> view;       // absent where it is as before
+  std::optional<View> view = std::nullopt;  // absent where it is as before
+  // Up to where also those have followed that it represents and that may go on without a lease; absent:
+  // `has`.
+  std::optional<std::uint64_t> followed = std::nullopt;
 };
 
 struct Entry {
