--- a/src/compliance/officer.cpp
+++ b/src/compliance/officer.cpp
@@ -13,13 +13,13 @@
 
 }  // namespace
 
-Officer::Officer(const Wiring& wiring, const group::Config& config, works::Crew& crew, Note note)
+Officer::Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& crew, Note note)
     : wiring_(wiring),
       config_(config),
-      crew_(crew),
+      coordinator_(crew),
       note_(std::move(note)),
       enforcer_(
-          wiring, book_, [this] { return crew_.leased(); }, note_) {}
+          wiring, book_, [this] { return coordinator_.leased(); }, note_) {}
 
 void Officer::attach(group::Member& member) {
   member_ = &member;
@@ -35,7 +35,8 @@
     entry = read_entry(json::parse(text));
   } catch (const std::exception& fault) {
     wiring_.counters.add("compliance.unreadable");
-    return crew_.failed("entry " + std::to_string(index) + " of the log cannot be read: " + fault.what());
+    return coordinator_.failed("entry " + std::to_string(index) +
+                               " of the log cannot be read: " + fault.what());
   }
   proposed_ = Millis(0);
   const auto outcome = book_.apply(index, entry);
@@ -76,12 +77,12 @@
     const bool over = found == book_.certificates().end() || found->second.state != State::ending;
     i = over ? stopped_.erase(i) : std::next(i);
   }
-  if (crew_.leads() && now - proposed_ >= config_.terms.beat() / 2 * kAgain) lead();
+  if (coordinator_.leads() && now - proposed_ >= config_.terms.beat() / 2 * kAgain) lead();
 }
 
 std::string Officer::waits_for(const Certificate& c) const {
   std::string out;
-  for (const auto& [name, m] : crew_.board().members()) {
+  for (const auto& [name, m] : coordinator_.board().members()) {
     const bool silent = wiring_.loop.now() - m.seen >= config_.terms.silent();
     if (m.serves && !silent && !book_.told(c.name, name, m.life)) out += (out.empty() ? "" : ", ") + name;
   }
@@ -117,7 +118,7 @@
                           {"waits_for", c.state == State::ending ? waits_for(c) : ""}};
   json regimes = json::array();
   for (const auto& [name, r] : book_.regimes()) regimes.push_back(name);
-  return {{"member", config_.member}, {"index", book_.index()},       {"knows", crew_.leased()},
+  return {{"member", config_.member}, {"index", book_.index()},       {"knows", coordinator_.leased()},
           {"regimes", regimes},       {"certificates", certificates}, {"tenants", book_.tenants()}};
 }
 
--- a/src/node/control_role.cpp
+++ b/src/node/control_role.cpp
@@ -27,7 +27,7 @@
 }  // namespace
 
 ControlRole::ControlRole(const Wiring& wiring, const group::Config& group, const control::NodeConfig& config,
-                         group::Member& member, works::Crew& coordinator, compliance::Officer& officer,
+                         group::Member& member, works::Coordinator& coordinator, compliance::Officer& officer,
                          const group::Lease& lease, Note note)
     : wiring_(wiring),
       coordinator_(coordinator),
@@ -86,7 +86,7 @@
   return allotment_.grant(session, server_.node().sessions().connected(), lease_until, now());
 }
 
-works::Crew::Represented ControlRole::represented() {
+works::Coordinator::Represented ControlRole::represented() {
   const auto known = [this](SessionViews::SessionId id) { return server_.node().sessions().known(id); };
   views_.retain(known);
   floors_ = server_.node().floors(now());
--- a/src/node/control_role.h
+++ b/src/node/control_role.h
@@ -13,7 +13,7 @@
 #include "group/member.h"
 #include "node/session_views.h"
 #include "shares/sharing.h"
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 namespace lotusyard::node {
 
@@ -22,7 +22,7 @@
   using Note = std::function<void(const std::string& text)>;
   // All that it is given outlives it. Throws config::ConfigError if it cannot listen.
   ControlRole(const Wiring& wiring, const group::Config& group, const control::NodeConfig& config,
-              group::Member& member, works::Crew& coordinator, compliance::Officer& officer,
+              group::Member& member, works::Coordinator& coordinator, compliance::Officer& officer,
               const group::Lease& lease, Note note);
   ~ControlRole() override;
 
@@ -37,7 +37,7 @@
 
  private:
   Wiring wiring_;
-  works::Crew& coordinator_;
+  works::Coordinator& coordinator_;
   compliance::Officer& officer_;
   const group::Lease& lease_;
   Note note_;
@@ -52,7 +52,7 @@
 
   works::Millis now() const { return wiring_.loop.now(); }
   std::uint64_t version() const { return coordinator_.changes() + officer_.changes(); }
-  works::Crew::Represented represented();
+  works::Coordinator::Represented represented();
   void forwarded(control::SessionTable::SessionId session, const control::Forward& forward);
   std::optional<double> share_of(control::SessionTable::SessionId session, works::Millis lease_until);
 };
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,7 +11,7 @@
 #include "node/control_role.h"
 #include "shares/sharing.h"
 #include "view/viewer.h"
-#include "works/crew.h"
+#include "works/coordinator.h"
 
 namespace lotusyard::node {
 
@@ -20,13 +20,13 @@
   // `control`: this member is a control node, too.
   Node(const Wiring& wiring, const group::Config& config, const std::optional<control::NodeConfig>& control);
 
-  bool ready() const override { return crew_.ready(); }
+  bool ready() const override { return coordinator_.ready(); }
   bool may_send(const std::string& host, const core::Call* call, std::uint64_t function) override;
   robinfold::Gate* gate() override { return this; }
   bool open(const std::string& tenant, std::uint64_t function, const std::string& host) override;
   void refused(const core::Call& call) override { officer_.enforcer().refused(call); }
   void drain() override;
-  void before_writes() override { crew_.before_writes(); }
+  void before_writes() override { coordinator_.before_writes(); }
   void attempt_ended(const std::string& host, const core::Call& call, core::Outcome outcome) override;
   std::optional<console::Said> asked(const console::Request& request) override;
 
@@ -35,7 +35,7 @@
   const group::Config config_;
   group::Lease lease_;
   bool built_ = false;
-  works::Crew crew_;
+  works::Coordinator coordinator_;
   shares::Sharing sharing_;
   compliance::Officer officer_;
   group::Member member_;  // it calls the parts from its construction on
