--- a/src/compliance/officer.cpp
+++ b/src/compliance/officer.cpp
@@ -13,10 +13,10 @@
 
 }  // namespace
 
-Officer::Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& crew, Note note)
+Officer::Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator, Note note)
     : wiring_(wiring),
       config_(config),
-      coordinator_(crew),
+      coordinator_(coordinator),
       note_(std::move(note)),
       enforcer_(
           wiring, book_, [this] { return coordinator_.leased(); }, note_) {}
