Control tier: tests of the sockets, through relays and by hand-written invokers

The sockets had no tests. Adds a relay whose two ways can be held, delayed and cut each, a harness of nodes and invokers on one loop, and tests of delivery, moves, closing, slow, silent, malformed and too many peers, and of both roles' configuration.

--- /dev/null
+++ b/tests/control/config_test.cpp
@@ -0,0 +1,174 @@
+// The part `control` of an operator's file, for control nodes and for invokers.
+#include "control/config.h"
+
+#include <catch2/catch.hpp>
+
+#include "config/config.h"
+
+namespace lotusyard::test {
+namespace {
+
+using control::Millis;
+using control::NodeAddress;
+using nlohmann::json;
+
+constexpr Millis kLongestDeadline{1500};
+
+group::Config member_config() {
+  group::Config out;
+  out.cluster = "yard";
+  out.member = "a";
+  return out;
+}
+json node_file() { return {{"group", json::object()}, {"control", {{"listen", "127.0.0.1:7100"}}}}; }
+json invoker_file() {
+  return {{"control", {{"cluster", "yard"}, {"nodes", {{{"name", "a"}, {"address", "127.0.0.1:7100"}}}}}}};
+}
+template <typename Read>
+std::string fault_of(const Read& read) {
+  try {
+    read();
+  } catch (const config::ConfigError& fault) { return fault.what(); }
+  return {};
+}
+std::string node_fault(const json& file) {
+  return fault_of([&] { control::read_node_config(file, member_config()); });
+}
+std::string invoker_fault(const json& file) {
+  return fault_of([&] { control::read_invoker_config(file, kLongestDeadline); });
+}
+
+struct Faulty {
+  std::string pointer;
+  json value;
+  std::string key;  // as the error names it
+};
+template <typename FaultOf>
+void check_faults(const json& good, const std::vector<Faulty>& faults, const FaultOf& fault) {
+  CHECK(fault(good).empty());
+  for (const auto& [pointer, value, key] : faults) {
+    INFO(pointer << " = " << value);
+    json file = good;
+    file[json::json_pointer(pointer)] = value;
+    CHECK_THAT(fault(file), Catch::StartsWith("configuration: " + key + ": "));
+  }
+}
+
+TEST_CASE("the part control decides the role, beside a group or without one") {
+  CHECK_FALSE(control::read_node_config(json::object(), member_config()));
+  CHECK_FALSE(control::read_invoker_config(json::object(), kLongestDeadline));
+  CHECK_FALSE(control::read_invoker_config(node_file(), kLongestDeadline));
+  CHECK(control::read_node_config(node_file(), member_config()));
+  CHECK(control::read_invoker_config(invoker_file(), kLongestDeadline));
+}
+
+TEST_CASE("a control node's part is read, with its defaults") {
+  const auto least = control::read_node_config(node_file(), member_config());
+  REQUIRE(least);
+  CHECK(least->listen == "127.0.0.1:7100");
+  CHECK(least->self == NodeAddress{"a", "127.0.0.1:7100", "", ""});
+  CHECK(least->nodes.empty());
+  CHECK(least->sessions.sessions == 1200);
+  CHECK(least->sessions.opens_per_second == 200);
+
+  json file = node_file();
+  file["control"].update(json::parse(R"({"address":"10.0.0.1:7100","zone":"z1","region":"r1",
+      "sessions":300,"opens_per_second":20,"nodes":[{"name":"b","address":"10.0.0.2:7100","zone":"z2"}]})"));
+  const auto whole = control::read_node_config(file, member_config());
+  REQUIRE(whole);
+  CHECK(whole->self == NodeAddress{"a", "10.0.0.1:7100", "z1", "r1"});
+  CHECK(whole->nodes == std::vector<NodeAddress>{{"b", "10.0.0.2:7100", "z2", ""}});
+  CHECK(whole->sessions.sessions == 300);
+  CHECK(whole->sessions.opens_per_second == 20);
+}
+
+TEST_CASE("a control node's own entry in the list of nodes gives its defaults and is no other node") {
+  json file = node_file();
+  file["control"]["nodes"] = json::parse(R"([{"name":"a","address":"10.0.0.1:7100","zone":"z1","region":"r"},
+      {"name":"b","address":"10.0.0.2:7100"}])");
+  const auto read = control::read_node_config(file, member_config());
+  REQUIRE(read);
+  CHECK(read->self == NodeAddress{"a", "10.0.0.1:7100", "z1", "r"});
+  CHECK(read->nodes == std::vector<NodeAddress>{{"b", "10.0.0.2:7100", "", ""}});
+}
+
+TEST_CASE("a faulty part of a control node is refused by the name of its key") {
+  json good = node_file();
+  good["control"]["nodes"] = json::parse(R"([{"name":"b","address":"10.0.0.2:7100"},
+      {"name":"c","address":"10.0.0.3:7100"}])");
+  check_faults(good,
+               {{"/control", 5, "control"},
+                {"/control/listen", json(), "control.listen"},
+                {"/control/listen", "here", "control.listen"},
+                {"/control/address", "yard.example:7100", "control.address"},
+                {"/control/address", "10.0.0.2:7100", "control.address"},
+                {"/control/zone", 1, "control.zone"},
+                {"/control/region", std::string(129, 'r'), "control.region"},
+                {"/control/sessions", 0, "control.sessions"},
+                {"/control/sessions", 1.5, "control.sessions"},
+                {"/control/sessions", 1e300, "control.sessions"},
+                {"/control/opens_per_second", -1, "control.opens_per_second"},
+                {"/control/nodes", "b", "control.nodes"},
+                {"/control/nodes", json(65, good["control"]["nodes"][0]), "control.nodes"},
+                {"/control/nodes/0", "b", "control.nodes[0]"},
+                {"/control/nodes/0/name", "no spaces", "control.nodes[0].name"},
+                {"/control/nodes/0/name", std::string(65, 'n'), "control.nodes[0].name"},
+                {"/control/nodes/1/name", "b", "control.nodes[1].name"},
+                {"/control/nodes/1/address", "10.0.0.2:7100", "control.nodes[1].address"},
+                {"/control/nodes/1/address", json(), "control.nodes[1].address"},
+                {"/control/nodes/1/zone", false, "control.nodes[1].zone"},
+                {"/control/nodes/1/port", 1, "control.nodes[1].port"},
+                {"/control/lease_ms", 3000, "control.lease_ms"},
+                {"/control/cluster", "yard", "control.cluster"}},
+               node_fault);
+}
+
+TEST_CASE("a cluster's name that no invoker could send is refused at a control node") {
+  group::Config group = member_config();
+  group.cluster = std::string(129, 'y');
+  CHECK_THAT(fault_of([&] { control::read_node_config(node_file(), group); }),
+             Catch::StartsWith("configuration: group.cluster: "));
+  CHECK_FALSE(control::read_node_config(json::object(), group));
+}
+
+TEST_CASE("an invoker's part is read, with its defaults") {
+  const auto least = control::read_invoker_config(invoker_file(), kLongestDeadline);
+  REQUIRE(least);
+  CHECK(least->cluster == "yard");
+  CHECK(least->nodes == std::vector<NodeAddress>{{"a", "127.0.0.1:7100", "", ""}});
+  CHECK((least->zone.empty() && least->region.empty()));
+  CHECK(least->terms.lease == group::Terms().lease);
+  CHECK(least->terms.drift == group::Terms().drift);
+  CHECK(least->terms.last_call == kLongestDeadline);
+
+  json file = invoker_file();
+  file["control"].update(
+      json::parse(R"({"zone":"z1","region":"r1","lease_ms":600,"drift":0.02,"last_call_ms":2500})"));
+  const auto whole = control::read_invoker_config(file, kLongestDeadline);
+  REQUIRE(whole);
+  CHECK((whole->zone == "z1" && whole->region == "r1"));
+  CHECK(whole->terms.lease == Millis(600));
+  CHECK(whole->terms.drift == 0.02);
+  CHECK(whole->terms.last_call == Millis(2500));
+}
+
+TEST_CASE("a faulty part of an invoker is refused by the name of its key") {
+  check_faults(invoker_file(),
+               {{"/control", json::array(), "control"},
+                {"/control/cluster", json(), "control.cluster"},
+                {"/control/cluster", std::string(129, 'y'), "control.cluster"},
+                {"/control/nodes", json(), "control.nodes"},
+                {"/control/nodes", json::array(), "control.nodes"},
+                {"/control/nodes/0/address", "a:7100", "control.nodes[0].address"},
+                {"/control/zone", 4, "control.zone"},
+                {"/control/lease_ms", 199, "control.lease_ms"},
+                {"/control/lease_ms", "long", "control.lease_ms"},
+                {"/control/drift", 0.5, "control.drift"},
+                {"/control/last_call_ms", 1499, "control.last_call_ms"},
+                {"/control/listen", "127.0.0.1:7100", "control.listen"},
+                {"/control/sessions", 3, "control.sessions"}},
+               invoker_fault);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/control/raw_invoker.h
@@ -0,0 +1,68 @@
+// An invoker written by hand: it says what the test tells it to, and reads only when it is told to.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <string>
+#include <vector>
+
+#include "control/message.h"
+#include "helper.h"
+#include "net/socket.h"
+
+namespace lotusyard::test {
+
+class RawInvoker {
+ public:
+  explicit RawInvoker(const std::string& address) : socket_(net::connect_to(address)) {
+    REQUIRE(static_cast<bool>(socket_));
+    // Else the kernel takes in many megabytes for a reader that does not read.
+    const int size = kReceiveBuffer;
+    setsockopt(socket_.fd(), SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  }
+  void say(const control::Message& message) { say_bytes(control::encode(message)); }
+  void say_bytes(const std::string& bytes) {
+    unsent_ += bytes;
+    write();
+  }
+  // What the kernel takes of what was said.
+  void write() {
+    if (unsent_.empty()) return;
+    const ssize_t sent = ::send(socket_.fd(), unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+    if (sent > 0) unsent_.erase(0, static_cast<std::size_t>(sent));
+  }
+  std::size_t unsent() const { return unsent_.size(); }
+  void read() {
+    write();
+    char block[65536];
+    for (;;) {
+      const ssize_t got = ::recv(socket_.fd(), block, sizeof block, 0);
+      if (got < 0 && errno == EINTR) continue;
+      if (got < 0 && (errno == EAGAIN || errno == ENOTCONN)) return;
+      if (got <= 0) {
+        ended = true;
+        return;
+      }
+      REQUIRE(reader_.take(std::string_view(block, static_cast<std::size_t>(got)), messages));
+    }
+  }
+  // The first message of that type that was read; null: there is none.
+  template <typename Type>
+  const Type* first() const {
+    for (const auto& message : messages) {
+      if (const auto* found = std::get_if<Type>(&message)) return found;
+    }
+    return nullptr;
+  }
+  std::vector<control::Message> messages;
+  bool ended = false;
+
+ private:
+  static constexpr int kReceiveBuffer = 64 << 10;
+  net::Socket socket_;
+  std::string unsent_;
+  control::MessageReader reader_{control::longest_to_invoker};
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/control/tier.h
@@ -0,0 +1,113 @@
+// Control nodes and invokers on one loop, with a relay before every node for each invoker. The test plays
+// the group: it applies the same changes at all nodes and keeps their leases alive.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/node_server.h"
+#include "control/session_client.h"
+#include "relay.h"
+
+namespace lotusyard::test {
+
+class Tier {
+ public:
+  struct Invoker {
+    core::Counters counters;
+    std::vector<std::unique_ptr<Relay>> relays;  // one to each node
+    std::unique_ptr<control::SessionClient> client;
+
+    control::Session& session() { return client->session(); }
+    const control::Records& records() { return client->replica().records(); }
+  };
+
+  explicit Tier(Millis lease = Millis(600)) {
+    terms.lease = lease;
+    terms.last_call = Millis(100);
+  }
+
+  // A node that continues from the present state.
+  control::NodeServer& add_node(control::NodeServer::Limits limits = control::NodeServer::Limits(),
+                                std::size_t sessions = 1200) {
+    control::ControlNode::Config config;
+    config.cluster = "yard";
+    config.self = {"n" + std::to_string(nodes.size()), "", "", ""};
+    config.terms = terms;
+    config.sessions.sessions = sessions;
+    nodes.push_back(std::make_unique<control::NodeServer>(loop, counters, config, limits));
+    REQUIRE(nodes.back()->listen("127.0.0.1:0"));
+    nodes.back()->node().reset(index, records);
+    return *nodes.back();
+  }
+  Invoker& add_invoker() {
+    invokers.push_back(std::make_unique<Invoker>());
+    Invoker& added = *invokers.back();
+    control::Session::Config config;
+    config.cluster = "yard";
+    config.invoker = "i" + std::to_string(invokers.size());
+    config.incarnation = invokers.size();
+    config.terms = terms;
+    config.pacing.first_wait = Millis(100);
+    config.pacing.most_wait = Millis(400);
+    for (const auto& node : nodes) {
+      added.relays.push_back(std::make_unique<Relay>(loop, node->address(), invokers.size()));
+      const std::string name = "n" + std::to_string(config.nodes.size());
+      config.nodes.push_back({name, added.relays.back()->address(), "", ""});
+    }
+    added.client = std::make_unique<control::SessionClient>(loop, added.counters, config, invokers.size());
+    return added;
+  }
+  control::Open open_message() const {
+    control::Open out;
+    out.cluster = "yard";
+    out.invoker = "raw";
+    out.incarnation = 1;
+    out.terms = terms;
+    return out;
+  }
+
+  void change(const std::string& key, const std::string& value) {
+    const control::Change change = {{key, value}};
+    control::apply(records, change);
+    ++index;
+    for (const auto& node : nodes) {
+      if (node) node->node().applied(index, change);
+    }
+  }
+  void turn() {
+    for (const auto& node : nodes) {
+      if (node) node->node().set_lease(loop.now() + terms.lease);
+    }
+    loop.turn(loop.now() + Millis(5), [] {});
+  }
+  template <typename Until>
+  bool until(const Until& until, Millis most = Millis(10000)) {
+    const Millis end = loop.now() + most;
+    while (loop.now() < end) {
+      if (until()) return true;
+      turn();
+    }
+    return until();
+  }
+  void wait(Millis time) {
+    until([] { return false; }, time);
+  }
+  bool up_to_date(Invoker& invoker) {
+    return invoker.session().holds(loop.now()) && invoker.records() == records;
+  }
+  bool all_up_to_date() {
+    return std::all_of(invokers.begin(), invokers.end(), [&](const auto& one) { return up_to_date(*one); });
+  }
+
+  net::Loop loop;
+  core::Counters counters;  // of all nodes
+  group::Terms terms;
+  control::Records records = {{"first", "record"}};
+  control::Index index = 1;
+  std::vector<std::unique_ptr<control::NodeServer>> nodes;  // null: killed
+  std::vector<std::unique_ptr<Invoker>> invokers;
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/control/transport_slow_test.cpp
@@ -0,0 +1,99 @@
+// What waits for a peer that reads slowly or not at all is bounded.
+#include "control/replica.h"
+#include "served.h"
+
+namespace lotusyard::test {
+namespace {
+
+constexpr std::size_t kValue = 8000;
+constexpr std::size_t kFrames = 100000;  // a chunk, a delta, answers, and what rounding to blocks adds
+
+std::string large_value(int number) { return std::string(kValue, static_cast<char>('a' + number % 26)); }
+
+// Takes what has come; the messages are used up.
+void replicate(RawInvoker& raw, control::Replica& replica) {
+  for (const auto& message : raw.messages) {
+    if (const auto* chunk = std::get_if<control::SnapshotChunk>(&message)) {
+      CHECK(replica.take(*chunk) != control::Replica::Outcome::malformed);
+    }
+    if (const auto* delta = std::get_if<control::Delta>(&message)) {
+      CHECK(replica.take(*delta) == control::Replica::Outcome::applied);
+    }
+  }
+  raw.messages.clear();
+}
+
+TEST_CASE("a reader that is slow costs a bounded memory, and has everything once it reads again") {
+  const int changes = GENERATE(800, 4000);  // the log holds as many as fit into 8 MB
+  Served served(Millis(8000));
+  const auto raw = served.opened();
+  const auto snapshots = served.count("control.snapshots");
+  control::Replica replica;
+  replicate(*raw, replica);
+  const NodeServer::Limits limits;
+  std::size_t most = 0;
+  for (int i = 0; i < changes; ++i) {
+    served.tier.change("key" + std::to_string(i % 50), large_value(i));
+    served.tier.turn();
+    most = std::max(most, served.server.pooled());
+  }
+  REQUIRE(served.tier.until([&] { return served.tier.up_to_date(served.good); }));
+  CHECK(served.server.links() == 2);
+  CHECK(served.server.pooled() >= limits.unsent);  // else nothing was slow here
+  CHECK(most <= 2 * (limits.unsent + kFrames));    // of both links
+  CHECK(served.tier.until([&] {
+    raw->read();
+    replicate(*raw, replica);
+    return replica.records() == served.tier.records;
+  }));
+  CHECK(replica.position() == served.tier.index);
+  CHECK(served.count("control.snapshots") == snapshots + (changes == 4000 ? 1 : 0));
+  served.check_good();
+}
+
+TEST_CASE("a link that takes nothing of what waits ends, although it renews") {
+  NodeServer::Limits limits;
+  limits.stalled_after = Millis(700);
+  Served served(Millis(8000), limits);
+  const auto raw = served.opened();
+  for (int i = 0; i < 2000; ++i) {
+    served.tier.change("key" + std::to_string(i % 50), large_value(i));
+    served.tier.turn();
+  }
+  REQUIRE(served.server.pooled() >= limits.unsent);
+  std::uint64_t sequence = 0;
+  const bool ended = served.tier.until(
+      [&] {
+        if (sequence < 20) raw->say(control::Renew{++sequence, 1, 0});
+        return served.count("control.stalled_links") == 1;
+      },
+      Millis(3000));
+  CHECK(ended);
+  CHECK(served.tier.until([&] { return served.server.links() == 1; }, Millis(100)));
+  CHECK(served.tier.until([&] { return served.server.pooled() == 0; }, Millis(1000)));
+  served.check_good();
+}
+
+TEST_CASE("a peer that asks on and reads no answer ends before they take up much") {
+  Served served(Millis(8000));
+  const auto raw = served.opened();
+  std::uint64_t sequence = 0;
+  std::size_t most = 0;
+  const bool ended = served.tier.until(
+      [&] {
+        std::string renewals;
+        for (int i = 0; raw->unsent() == 0 && i < 5000; ++i)
+          renewals += control::encode(control::Renew{++sequence, 1, 0});
+        raw->say_bytes(renewals);
+        most = std::max(most, served.server.pooled());
+        return served.count("control.overflowed_links") == 1;
+      },
+      Millis(20000));
+  CHECK(ended);
+  CHECK(most < (2U << 20));
+  CHECK(served.tier.until([&] { return served.server.links() == 1; }, Millis(100)));
+  served.check_good();
+}
+
+}  // namespace
+}  // namespace lotusyard::test
