--- a/src/control/session_takes.cpp
+++ b/src/control/session_takes.cpp
@@ -48,7 +48,7 @@
     share_ = grant.share;
     refused_since_.reset();
     failures_ = 0;
-    nodes_.worked();
+    nodes_.forget_failures();
     return;
   }
   counters_.add("control.session.grants_of_nothing");
