Control tier: tests of a process without descriptors and of buffers taken up by slow links

Two bounds of NodeServer had no test: what it does when accept finds no descriptor, and that slow links which take up the whole buffer pool hold others up only until they end as stalled.

--- a/tests/control/served.h
+++ b/tests/control/served.h
@@ -28,9 +28,11 @@
     CHECK(good.counters.value("control.session.opened") == 1);
   }
   // A connection with an open session that holds all records.
-  std::unique_ptr<RawInvoker> opened() {
+  std::unique_ptr<RawInvoker> opened(std::uint64_t incarnation = 1) {
     auto raw = std::make_unique<RawInvoker>(server.address());
-    raw->say(tier.open_message());
+    control::Open open = tier.open_message();
+    open.incarnation = incarnation;
+    raw->say(open);
     const bool served = tier.until(
         [&] {
           raw->read();
--- a/tests/control/transport_faults_test.cpp
+++ b/tests/control/transport_faults_test.cpp
@@ -1,10 +1,19 @@
 // What a control node's sockets do with peers that are silent, malformed or too many: each is counted, only
 // its own link ends, and an invoker that behaves notices nothing.
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "served.h"
 
 namespace lotusyard::test {
 namespace {
 
+int lowest_free_descriptor() {
+  const int free = dup(0);
+  close(free);
+  return free;
+}
+
 std::string head(std::uint32_t size, unsigned kind) {
   std::string out;
   for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(size >> shift & 0xff);
@@ -101,6 +110,33 @@
   CHECK(served.ends(*raw, Millis(4000)));
   CHECK(served.tier.loop.now() - began >= Millis(1100));
   CHECK(served.count("control.silent_links") == 1);
+  CHECK(served.server.node().sessions().connected() == 1);
+  served.check_good();
+}
+
+TEST_CASE("a node without a free descriptor goes on with what it has, and takes the rest later") {
+  Served served;
+  served.check_good();
+  RawInvoker raw(served.server.address());
+  raw.say(served.tier.open_message());
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  rlimit full = before;
+  full.rlim_cur = static_cast<rlim_t>(lowest_free_descriptor());
+  // Danger: the sanitizers need descriptors for some checks. Nothing is asserted while there are none.
+  setrlimit(RLIMIT_NOFILE, &full);
+  served.tier.change("without", "descriptors");
+  served.tier.wait(Millis(450));
+  setrlimit(RLIMIT_NOFILE, &before);
+  const std::uint64_t pauses = served.count("control.no_descriptor");
+  CHECK((pauses >= 2 && pauses <= 5));
+  CHECK(served.tier.up_to_date(served.good));
+  CHECK(served.tier.until(
+      [&] {
+        raw.read();
+        return raw.first<control::Welcome>() != nullptr;
+      },
+      Millis(1000)));
   served.check_good();
 }
 
--- a/tests/control/transport_slow_test.cpp
+++ b/tests/control/transport_slow_test.cpp
@@ -74,6 +74,28 @@
   served.check_good();
 }
 
+TEST_CASE("links that take up all that may wait hold the others up only until they end") {
+  NodeServer::Limits limits;
+  limits.pooled = 1U << 20;
+  limits.stalled_after = Millis(1500);
+  Served served(Millis(8000), limits);
+  std::vector<std::unique_ptr<RawInvoker>> slow;
+  for (std::uint64_t i = 0; i < 10; ++i) slow.push_back(served.opened(i + 1));
+  auto& late = served.tier.add_invoker();  // served after all of them
+  REQUIRE(served.tier.until([&] { return served.tier.all_up_to_date(); }));
+  std::size_t most = 0;
+  for (int i = 0; i < 1000; ++i) {
+    served.tier.change("key" + std::to_string(i % 50), large_value(i));
+    served.tier.turn();
+    most = std::max(most, served.server.pooled());
+  }
+  CHECK(most <= limits.pooled);
+  CHECK_FALSE(served.tier.up_to_date(late));
+  CHECK(served.tier.until([&] { return served.tier.all_up_to_date(); }, Millis(4000)));
+  CHECK(served.count("control.stalled_links") > 0);
+  served.check_good();
+}
+
 TEST_CASE("a peer that asks on and reads no answer ends before they take up much") {
   Served served(Millis(8000));
   const auto raw = served.opened();
