--- a/src/control/node_server.cpp
+++ b/src/control/node_server.cpp
@@ -33,7 +33,8 @@
     }
     write(frame);
   }
-  // If there is none, the node is told once there is room again.
+  // If there is none, the node is asked for more when this link has sent all that it had. A link that had
+  // nothing, while others took up the whole pool, sends its next grant then.
   bool has_room() {
     refill_wanted_ = !room();
     return !refill_wanted_;
@@ -50,7 +51,6 @@
     if (ending()) return;
     if (!open_ && now - accepted_ > server_.limits_.open_within) return give_up("control.no_open");
     if (open_ && now - heard_ > server_.silent_after_) return give_up("control.silent_links");
-    if (refill_wanted_ && room()) server_.refill_later(id_);
   }
 
  private:
