--- a/tests/control/control_node_data_test.cpp
+++ b/tests/control/control_node_data_test.cpp
@@ -73,5 +73,15 @@
   rig.check_fault(1, "future_position");
 }
 
+TEST_CASE("a resumption within a snapshot begins it anew") {
+  NodeRig rig;
+  rig.transport.room = 1;
+  rig.welcome(1, NodeRig::opening(0));
+  rig.node.writable(1);
+  CHECK(rig.transport.next<SnapshotChunk>(1).offset == 0);
+  rig.receive(1, Resume{0});  // one piece is left
+  CHECK(rig.transport.next<SnapshotChunk>(1).offset == 0);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/control/control_node_test.cpp
+++ b/tests/control/control_node_test.cpp
@@ -151,6 +151,16 @@
   CHECK(rig.node.sessions().size() == 0);
 }
 
+TEST_CASE("a session that opens again after its link has ended supersedes none") {
+  NodeRig rig;
+  rig.welcome(1, NodeRig::opening(10));
+  rig.receive(1, Renew{1, 10, 10});
+  rig.node.ended(1);
+  rig.welcome(2, NodeRig::opening(10));
+  CHECK(rig.count("superseded") == 0);
+  CHECK_FALSE(rig.transport.ended(1));  // its number may be another's by now
+}
+
 TEST_CASE("a node that leaves sends everybody away, and takes nobody") {
   NodeRig rig;
   rig.welcome(1, NodeRig::opening(10));
