--- a/src/control/session_takes.cpp
+++ b/src/control/session_takes.cpp
@@ -5,6 +5,11 @@
 #include "core/breaks.h"
 
 namespace lotusyard::control {
+namespace {
+
+constexpr int kMostDoublingsWhenTold = 1;  // of the wait, after a refusal that says when to try again
+
+}  // namespace
 
 void Session::received(Message&& message, Millis now) {
   if (state_ != State::opening && state_ != State::open) return;  // of a connection that was given up
@@ -24,8 +29,11 @@
 void Session::take(const Refusal& refusal, Millis now) {
   counters_.add(std::string("control.session.refused.") + name_of(refusal.reason));
   nodes_.learn(refusal.nodes);
-  if (refusal.retry_after.count() > 0)
+  if (refusal.retry_after.count() > 0) {
+    // The node said when to come again, and others may admit at once: no growing waits beside that.
+    failures_ = std::min(failures_, kMostDoublingsWhenTold);
     nodes_.hold_back(node_.address, now + refusal.retry_after * chance(1, 2));
+  }
   leave(now, "control.session.refused");
 }
 
--- a/tests/control/control_node_test.cpp
+++ b/tests/control/control_node_test.cpp
@@ -178,11 +178,29 @@
   CHECK(rig.node.floors(rig.now).applied == 10);  // its leases run on
 }
 
+TEST_CASE("a grant carries the session's share where the node divides one, and no share without a lease") {
+  NodeRig rig;
+  rig.node.divide_by([&](SessionTable::SessionId session, Millis until) -> std::optional<double> {
+    CHECK(until > rig.now);
+    return static_cast<double>(session) / 4;
+  });
+  rig.welcome(1, NodeRig::opening(10));
+  rig.receive(1, Renew{1, 10, 10});
+  const Grant grant = rig.transport.next<Grant>(1);
+  REQUIRE(grant.duration.count() > 0);
+  CHECK(grant.share == 0.25);
+  rig.node.set_lease(Millis(0));
+  rig.receive(1, Renew{2, 10, 10});
+  const Grant none = rig.transport.next<Grant>(1);
+  CHECK(none.duration.count() == 0);
+  CHECK_FALSE(none.share.has_value());
+}
+
 TEST_CASE("words are forwarded at a bounded rate by link") {
   NodeRig rig;
   std::vector<std::string> words;
   rig.node.when_forwarded(
-      [&](const std::string& part, const std::string& word) { words.push_back(part + word); });
+      [&](SessionTable::SessionId, const Forward& forward) { words.push_back(forward.part + forward.word); });
   rig.welcome(1, NodeRig::opening(10));
   rig.welcome(2, NodeRig::opening(10, "b"));
   for (int i = 0; i < 100; ++i) rig.receive(1, Forward{"p", "w"});
--- a/tests/control/message_test.cpp
+++ b/tests/control/message_test.cpp
@@ -17,6 +17,10 @@
 }
 std::uint64_t some_number() { return *rc::gen::arbitrary<std::uint64_t>(); }
 Millis some_duration() { return Millis(*rc::gen::inRange(0, 1000000)); }
+std::optional<double> some_share() {
+  const int share = *rc::gen::inRange(-1, 1001);
+  return share < 0 ? std::nullopt : std::optional<double>(share / 1000.0);
+}
 std::vector<NodeAddress> some_nodes() {
   std::vector<NodeAddress> out(*rc::gen::inRange<std::size_t>(0, 4));
   for (NodeAddress& node : out) node = {some_text(), some_text(), some_text(), some_text()};
@@ -43,7 +47,7 @@
       return Refusal{reason, some_duration(), some_nodes()};
     }
     case 3: return Renew{some_number(), some_number(), some_number()};
-    case 4: return Grant{some_number(), some_duration()};
+    case 4: return Grant{some_number(), some_duration(), some_share()};
     case 5: return SnapshotChunk{some_number(), some_number(), some_number(), some_text(200)};
     case 6: return Delta{some_number(), some_number(), some_text(200)};
     case 7: return Resume{some_number()};
--- /dev/null
+++ b/tests/control/offline_floor_test.cpp
@@ -0,0 +1,77 @@
+// Up to where also invokers without a lease have followed: every way in which one can be unaccounted for.
+#include "control/offline_floor.h"
+
+#include <catch2/catch.hpp>
+
+#include "control/session_table.h"
+
+using namespace lotusyard::control;
+using lotusyard::group::Terms;
+
+namespace {
+
+Terms terms_of_test() {
+  Terms out;
+  out.lease = Millis(1000);
+  out.drift = 0;
+  out.last_call = Millis(500);
+  out.offline = Millis(10000);
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("until a node can account for all leases it goes by what it reported long ago") {
+  OfflineFloor floor(terms_of_test(), Millis(2000));
+  floor.reported(50, Millis(1000));  // an earlier process's leases may still last
+  CHECK(floor.followed(80, Millis(11500)) == 0);
+  floor.reported(60, Millis(3000));
+  CHECK(floor.followed(80, Millis(11999)) == 0);
+  CHECK(floor.followed(80, Millis(12000)) == 80);  // nobody of an earlier process goes on any more
+  floor.vanished(Millis(12500));
+  CHECK(floor.followed(90, Millis(12500)) == 0);
+  CHECK(floor.followed(90, Millis(13000)) == 60);  // reported offline ago
+  CHECK(floor.followed(90, Millis(22500)) == 90);
+}
+
+TEST_CASE("an invoker that is behind and without a lease holds the floor down until it uses no host") {
+  const Terms terms = terms_of_test();
+  ChangeLog log({});
+  log.reset(10, {});
+  SessionTable sessions(terms, {}, log, Millis(0));
+  const Millis accounted = terms.silent() + terms.offline;
+  sessions.floors(accounted);
+  const auto admitted = sessions.open("a", 1, 10, accounted);
+  REQUIRE(sessions.report(admitted.session, 10, 10));
+  REQUIRE(sessions.grant(admitted.session, accounted + Millis(900), accounted).count() > 0);
+  log.append(11, {{"key", "value"}});
+
+  // It cannot be reached; its lease is over, and the node goes on without it in all but this.
+  sessions.disconnected(admitted.session);
+  const Millis after = accounted + Millis(900);
+  Floors floors = sessions.floors(after);
+  CHECK(floors.applied == 11);
+  CHECK(floors.followed == 10);
+  sessions.expire(after + terms.last_call);
+  REQUIRE_FALSE(sessions.known(admitted.session));
+  floors = sessions.floors(after + terms.offline - Millis(1));
+  CHECK(floors.followed < 11);
+  floors = sessions.floors(after + terms.offline);
+  CHECK(floors.followed == 11);
+}
+
+TEST_CASE("an invoker that said that it ends holds nothing down") {
+  const Terms terms = terms_of_test();
+  ChangeLog log({});
+  log.reset(10, {});
+  SessionTable sessions(terms, {}, log, Millis(0));
+  const Millis now = terms.silent() + terms.offline;
+  const auto admitted = sessions.open("a", 1, 10, now);
+  REQUIRE(sessions.report(admitted.session, 10, 10));
+  REQUIRE(sessions.grant(admitted.session, now + Millis(900), now).count() > 0);
+  log.append(11, {{"key", "value"}});
+  sessions.closed(admitted.session, now);
+  CHECK(sessions.floors(now).followed == 11);
+  sessions.expire(now + Millis(5000));
+  CHECK(sessions.floors(now + Millis(5000)).followed == 11);
+}
