--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using core::Millis;
-using takeover::Standing;
+using hot_restart::Standing;
 
 constexpr Millis kLookPace{200};  // what one process is told by hand holds for the other well within 1 s
 
@@ -78,7 +78,7 @@
   follow_list();
   listen();
   take_triggers(make_store);
-  open_door();
+  open_admin_endpoint();
 }
 
 Invoker::~Invoker() {
@@ -89,8 +89,8 @@
   dispatcher_.guard(nullptr);
 }
 
-takeover::Shares Invoker::shares() const {
-  return takeover::shares_of(config_->memory_mb, config_->sockets, standing_);
+hot_restart::Shares Invoker::shares() const {
+  return hot_restart::shares_of(config_->memory_mb, config_->sockets, standing_);
 }
 
 resp::Front::Limits Invoker::front_limits() const {
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -9,16 +9,16 @@
 #include "app/app.h"
 #include "app/signals.h"
 #include "config/config.h"
-#include "console/door.h"
+#include "console/admin_endpoint.h"
 #include "core/dispatcher.h"
 #include "discovery/discovery.h"
 #include "hosts/fleet.h"
+#include "hot_restart/presence.h"
+#include "hot_restart/shares.h"
 #include "membership/membership.h"
 #include "membership/out_files.h"
 #include "net/loop.h"
 #include "resp/front.h"
-#include "takeover/presence.h"
-#include "takeover/shares.h"
 #include "xds/hosts.h"
 
 namespace lotusyard {
@@ -37,8 +37,8 @@
   std::shared_ptr<const config::Config> config_;
   const std::string folder_;  // what outlives this process; empty: nothing does
   core::Counters counters_;
-  takeover::Presence presence_;
-  takeover::Standing standing_;
+  hot_restart::Presence presence_;
+  hot_restart::Standing standing_;
   net::BufferPool pool_;
   hosts::Fleet fleet_;
   core::Dispatcher dispatcher_;
@@ -50,21 +50,21 @@
   std::unique_ptr<answers::Store> store_;
   std::optional<amqp::Front> triggers_;
   std::unique_ptr<Companion> companion_;
-  std::optional<console::Door> door_;
+  std::optional<console::AdminEndpoint> admin_endpoint_;
   net::Loop::TimerId look_{};
   core::Millis told_to_end_{0};
 
   bool replaces() const { return config_->listen_fd >= 0; }  // processes take turns at one listener
   bool ending() const { return told_to_end_.count() > 0; }
-  takeover::Shares shares() const;
+  hot_restart::Shares shares() const;
   resp::Front::Limits front_limits() const;
   void follow_list();
   void listen();
   void join_companion(const CompanionMaker& make_companion);
-  void open_door();
+  void open_admin_endpoint();
   void take_triggers(const StoreMaker& make_store);
   void look();  // at what another process of this invoker has done
-  void stand(takeover::Standing standing);
+  void stand(hot_restart::Standing standing);
   void reread();
   void begin_end();
   bool ended();
