--- /dev/null
+++ b/tests/scale/flat_hollow.cpp
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/tests/scale/flat_processes.cpp
@@ -0,0 +1,162 @@
+// What a group of real processes costs at rest, by members, by changes a second and by hosts listed.
+// By name: lotusyard_scale_tests "[flat-processes]"; LOTUSYARD_MEMBERS=3,10 for other sizes,
+// LOTUSYARD_SCALE_S=60 for a longer interval.
+#include <catch2/catch.hpp>
+
+#include "point.h"
+#include "process_fleet.h"
+
+namespace lotusyard::scale {
+namespace {
+
+constexpr double kChangesAtTarget = 0.43;  // a second
+
+struct RestCase {
+  std::string test;
+  FleetShape shape;
+  double changes = 0;  // proposals a second
+  double settle = 20, seconds = 30;
+};
+
+// By role and metric: one value for each member of that role.
+using Figures = std::map<std::pair<std::string, std::string>, std::vector<double>>;
+
+// Proposes certificates at an even pace; each is one entry of the agreed log.
+class Proposer {
+ public:
+  Proposer(ProcessFleet& fleet, const ProcessFleet::Member& at, double pace)
+      : fleet_(fleet), at_(at), pace_(pace) {
+    if (pace_ <= 0) return;
+    const nlohmann::json regime = {{"t", "regime"}, {"id", "regime"}, {"regime", {{"name", "r"}}}};
+    REQUIRE(fleet_.propose(at_, regime) == 202);
+    next_ = fleet_.now() + 1 / pace_;
+  }
+  void turn() {
+    if (pace_ <= 0 || fleet_.now() < next_) return;
+    next_ += 1 / pace_;
+    const std::string name = "c" + std::to_string(++count_);
+    const nlohmann::json certificate = {
+        {"name", name}, {"host", "h0"}, {"regime", "r"}, {"from_ms", 1}, {"until_ms", 4e12}};
+    const int status = fleet_.propose(at_, {{"t", "certify"}, {"id", name}, {"certificate", certificate}});
+    taken_ += status == 202;
+  }
+  int taken() const { return taken_; }
+
+ private:
+  ProcessFleet& fleet_;
+  const ProcessFleet::Member& at_;
+  double pace_, next_ = 0;
+  int count_ = 0, taken_ = 0;
+};
+
+void add_rates(Figures& figures, const std::string& role, const UsageRate& rate, const Usage& after) {
+  const auto add = [&](const char* metric, double value) { figures[{role, metric}].push_back(value); };
+  add("core_share", rate.core_share);
+  add("sent_bytes_s", rate.sent);
+  add("received_bytes_s", rate.received);
+  add("group_sent_bytes_s", rate.members_sent);
+  add("group_received_bytes_s", rate.members_received);
+  add("segments_out_s", rate.segments_out);
+  add("resident_mb", after.resident_bytes / kMegabyte);
+  add("descriptors", after.descriptors);
+}
+
+// Measures one fleet at rest and prints its points. The caller has what it needs for slopes.
+Figures measure(const RestCase& given) {
+  ProcessFleet fleet(given.shape);
+  REQUIRE(fleet.all_ready());
+  fleet.run(given.settle);
+  REQUIRE(fleet.leader() != nullptr);
+  const std::string leader = fleet.leader()->name;
+  Proposer proposer(fleet, fleet.members().front(), given.changes);
+
+  const std::vector<std::string> counted = {kFramesSent, kViewsMalformed, kFramesTooLong, kLinksEnded};
+  const double counted_at = fleet.now();
+  const auto counts = fleet.counters(counted);
+  const auto before = fleet.usage();
+  const double seconds = fleet.run(given.seconds, [&] { proposer.turn(); });
+  const auto after = fleet.usage();
+  const double counted_for = fleet.now() - counted_at;
+  const auto counts_after = fleet.counters(counted);
+  CHECK(fleet.leader()->name == leader);  // else the figures of two leaders are mixed
+
+  Figures figures;
+  for (std::size_t i = 0; i < fleet.members().size(); ++i) {
+    const std::string role = fleet.members()[i].name == leader ? "leader" : "other";
+    add_rates(figures, role, rate_between(before[i], after[i], seconds), after[i]);
+    for (const auto& name : counted)
+      figures[{role, name + "_s"}].push_back((counts_after.at(name)[i] - counts.at(name)[i]) / counted_for);
+  }
+  const double changes = static_cast<double>(proposer.taken()) / seconds;
+  for (const auto& [key, values] : figures) {
+    print({given.test,
+           static_cast<std::size_t>(given.shape.members),
+           key.first,
+           key.second,
+           seconds,
+           {{"hosts", given.shape.hosts}, {"voters", given.shape.voters()}, {"changes_s", changes}}},
+          values);
+  }
+  return figures;
+}
+
+// One fleet after the other; prints the slope of every metric against what grows.
+void measure_all(const std::vector<RestCase>& cases, const std::string& against, double target,
+                 const std::function<double(const RestCase&)>& grows) {
+  std::map<std::pair<std::string, std::string>, Series> series;
+  for (const auto& one : cases) {
+    for (const auto& [key, values] : measure(one)) series[key].add(grows(one), median(values));
+  }
+  for (const auto& [key, line] : series)
+    print_fit({cases.front().test, 0, key.first, key.second, 0, {}}, against, line, target);
+}
+
+double interval() { return numbers_of("LOTUSYARD_SCALE_S", {30}).front(); }
+double settle_for(double members) { return 15 + members / 4; }
+
+TEST_CASE("processes at rest, by members", "[.][scale][flat-processes]") {
+  std::vector<RestCase> cases;
+  for (const double n : numbers_of("LOTUSYARD_MEMBERS", {3, 10, 30, 60, 100}))
+    cases.push_back({"processes_by_members", {static_cast<int>(n), 12}, 0, settle_for(n), interval()});
+  measure_all(cases, "members", kTargetMembers, [](const auto& c) { return c.shape.members; });
+}
+
+TEST_CASE("processes, by changes a second", "[.][scale][flat-changes]") {
+  std::vector<RestCase> cases;
+  for (const double changes : {0.0, kChangesAtTarget, 10 * kChangesAtTarget})
+    cases.push_back({"processes_by_changes", {30, 12}, changes, settle_for(30), interval()});
+  measure_all(cases, "changes_s", kChangesAtTarget, [](const auto& c) { return c.changes; });
+}
+
+TEST_CASE("processes at rest, by hosts listed", "[.][scale][flat-hosts]") {
+  constexpr double hosts_at_target = 10000;
+  std::vector<RestCase> cases;
+  for (const double hosts : numbers_of("LOTUSYARD_HOSTS", {12, 120, 1000}))
+    cases.push_back({"processes_by_hosts", {10, static_cast<int>(hosts)}, 0, settle_for(10), interval()});
+  measure_all(cases, "hosts", hosts_at_target, [](const auto& c) { return c.shape.hosts; });
+}
+
+// What the three members' sockets say they sent has to be what they say they received, or the measurement is
+// no good; and at rest nobody but the leader sends much.
+TEST_CASE("three processes at rest, shortly", "[scale-short]") {
+  const Figures figures = measure({"processes_short", {3, 12}, 0, 2, 3});
+  const auto sum = [&](const std::string& metric) {
+    double out = 0;
+    for (const auto& [key, values] : figures) {
+      for (const double value : values) out += key.second == metric ? value : 0;
+    }
+    return out;
+  };
+  const auto of = [&](const std::string& role, const std::string& metric) {
+    return median(figures.at({role, metric}));
+  };
+  CHECK(sum("group_sent_bytes_s") > 100);
+  CHECK(sum("group_sent_bytes_s") == Approx(sum("group_received_bytes_s")).epsilon(0.1));
+  CHECK(of("leader", "group_sent_bytes_s") > of("other", "group_sent_bytes_s"));
+  CHECK(of("leader", "group_sent_bytes_s") < 13000);  // what an invoker may use for control
+  CHECK(of("other", "descriptors") < 32);
+  CHECK(sum(std::string(kLinksEnded) + "_s") == 0);
+}
+
+}  // namespace
+}  // namespace lotusyard::scale
--- /dev/null
+++ b/tests/scale/process_fleet.h
@@ -0,0 +1,174 @@
+// Real processes of one group at rest: stand-in change log, no calls, no relays in between, so that what is
+// measured is the group's own traffic.
+#pragma once
+
+#include <cctype>
+
+#include "lotusyard/service.h"
+#include "process_usage.h"
+#include "tier.h"
+
+namespace lotusyard::scale {
+
+constexpr int kFirstPort = 10000;       // below the range from which outgoing connections take their ports
+constexpr int kRealHosts = 2;           // that `Service` lists by itself; nobody connects to them at rest
+constexpr double kLogPace = 1;          // seconds between the change log's signs of life
+constexpr double kCountersPrinted = 1;  // seconds that members are given to print their counters
+
+// Addresses that nobody listens at, each given out once.
+class Ports {
+ public:
+  std::string next() {
+    while (true) {
+      const std::string address = "127.0.0.1:" + std::to_string(next_++);
+      if (net::listen_on(address)) return address;
+    }
+  }
+
+ private:
+  int next_ = kFirstPort;
+};
+
+inline std::string percent_encoded(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    char code[4];
+    std::snprintf(code, sizeof code, "%%%02X", static_cast<unsigned char>(c));
+    out += std::isalnum(static_cast<unsigned char>(c)) != 0 ? std::string(1, c) : std::string(code);
+  }
+  return out;
+}
+
+struct FleetShape {
+  int members = 3, hosts = 12;
+  int voters() const { return members <= 3 ? members : 5; }
+};
+
+class ProcessFleet {
+ public:
+  struct Member {
+    std::string name, listen, door, clients, config, log;
+    std::unique_ptr<test::Process> process;
+  };
+
+  explicit ProcessFleet(const FleetShape& shape) : shape_(shape) {
+    for (int i = kRealHosts; i < shape.hosts; ++i) {
+      const std::string address =
+          "127.1." + std::to_string(i / 250) + '.' + std::to_string(i % 250 + 1) + ":9";
+      service_.log.tell("h" + std::to_string(i), address, "ready");
+    }
+    nlohmann::json peers = nlohmann::json::array();
+    for (int i = 0; i < shape.members; ++i) {
+      const std::string name = "m" + std::to_string(i), path = service_.folder.path + "/" + name;
+      members_.push_back(
+          {name, ports_.next(), ports_.next(), ports_.next(), path + ".json", path + ".log", {}});
+      peers.push_back({{"name", name}, {"address", members_.back().listen}, {"votes", i < shape.voters()}});
+    }
+    for (auto& member : members_) start(member, peers);
+  }
+
+  std::vector<Member>& members() { return members_; }
+  std::set<int> member_ports() const {
+    std::set<int> out;
+    for (const auto& m : members_) out.insert(std::stoi(m.listen.substr(m.listen.rfind(':') + 1)));
+    return out;
+  }
+  // Whether every member has its lease and serves.
+  bool all_ready() {
+    return std::all_of(members_.begin(), members_.end(), [this](const auto& m) {
+      return service_.until([&] { return service_.ask(m.door, "GET", kReadyPath) == 200; });
+    });
+  }
+  // Serves the change log for so long; `each_turn` is called in between.
+  template <typename EachTurn>
+  double run(double seconds, const EachTurn& each_turn) {
+    const double began = now();
+    while (now() - began < seconds) {
+      each_turn();
+      keep_log_alive();
+      service_.world.turn();
+    }
+    return now() - began;
+  }
+  double now() const { return service_.world.loop.now().count() / 1000; }
+  double run(double seconds) {
+    return run(seconds, [] {});
+  }
+  // The member whose log tells of the latest term that it led.
+  const Member* leader() const {
+    const Member* out = nullptr;
+    long latest = 0;
+    for (const auto& m : members_) {
+      std::ifstream in(m.log);
+      for (std::string line; std::getline(in, line);) {
+        const auto term = line.find("term=");
+        const std::string note = kLeadsNote;
+        const bool leads =
+            line.size() > note.size() && line.compare(line.size() - note.size(), note.size(), note) == 0;
+        if (!leads || term == std::string::npos || std::stol(line.substr(term + 5)) < latest) continue;
+        latest = std::stol(line.substr(term + 5));
+        out = &m;
+      }
+    }
+    return out;
+  }
+  // The named counters, each with one value for every member, in their order; all read at one moment.
+  std::map<std::string, std::vector<double>> counters(const std::vector<std::string>& names) {
+    for (const auto& m : members_) m.process->signal(SIGUSR1);
+    run(kCountersPrinted);
+    std::map<std::string, std::vector<double>> out;
+    for (const auto& name : names) {
+      for (const auto& m : members_) out[name].push_back(static_cast<double>(m.process->counter(name)));
+    }
+    return out;
+  }
+  std::vector<Usage> usage() const {
+    const auto ports = member_ports();
+    std::vector<Usage> out;
+    for (const auto& m : members_) out.push_back(usage_of(m.process->pid(), ports));
+    return out;
+  }
+  // The HTTP status with which a proposal for the agreed log was taken.
+  int propose(const Member& at, const nlohmann::json& what) {
+    return service_.ask(at.door, "POST", kProposeRegulation + percent_encoded(what.dump()));
+  }
+
+ private:
+  FleetShape shape_;
+  test::Service service_{false};
+  Ports ports_;
+  std::vector<Member> members_;
+  double log_spoke_ = 0;
+
+  // As the platform's log does: a log that is silent for longer is asked anew, and tells all hosts again.
+  void keep_log_alive() {
+    if (now() - log_spoke_ < kLogPace) return;
+    log_spoke_ = now();
+    const std::string line = std::to_string(service_.log.lines.size()) + "\n";
+    for (const auto& peer : service_.log.server.peers) peer->write(line);
+  }
+
+  void start(Member& m, const nlohmann::json& peers) {
+    auto file = test::platform_file(m.clients, service_.log.server.address());
+    file["name"] = m.name;
+    file["console"] = m.door;
+    file["limits"] = {{"cores", 0.5}, {"memory_mb", 128}, {"sockets", 1024}};
+    file["settings"]["Balancers"] = shape_.members;
+    file["settings"]["Bounds"]["Probes"] = false;
+    file["group"] = {{"cluster", "scale"},
+                     {"store", service_.folder.path + "/" + m.name + ".db"},
+                     {"listen", m.listen},
+                     {"members", peers},
+                     {"lease_ms", 3000},
+                     {"election_ms", 1000},
+                     {"view", {{"period_ms", 500}}}};
+    std::ofstream(m.config) << file.dump();
+    const std::string init = std::string(LOTUSYARD_FULL) + " group init " + m.config + " >/dev/null";
+    REQUIRE(std::system(init.c_str()) == 0);
+    const std::map<std::string, std::string> environment = {{"BALANCER_CONFIG", m.config},
+                                                            {"TMPDIR", service_.folder.path}};
+    m.process = std::make_unique<test::Process>(m.log, environment, nullptr, LOTUSYARD_FULL);
+  }
+};
+
+}  // namespace lotusyard::scale
--- /dev/null
+++ b/tests/scale/tier.h
@@ -0,0 +1,26 @@
+// The names of the measured program that these tests use: its modules, paths and counters, in one place.
+#pragma once
+
+#include "compliance/book.h"
+#include "shares/epochs.h"
+#include "view/swim.h"
+#include "works/board.h"
+
+namespace lotusyard::scale {
+
+using Board = works::Board;
+using BoardEntry = works::Entry;
+using Beat = works::Beat;
+using BoardView = works::View;
+using Epochs = shares::Epochs;
+using Book = compliance::Book;
+
+constexpr const char* kReadyPath = "/-/ready";
+constexpr const char* kProposeRegulation = "/-/compliance/propose/";
+constexpr const char* kLeadsNote = " leads";  // ends the line of a member that begins to lead
+constexpr const char* kFramesSent = "group.sent";
+constexpr const char* kViewsMalformed = "view.malformed";
+constexpr const char* kFramesTooLong = "group.too_long";
+constexpr const char* kLinksEnded = "group.links_ended";
+
+}  // namespace lotusyard::scale
