--- a/tests/scale/flat_hollow.cpp
+++ b/tests/scale/flat_hollow.cpp
@@ -1,1 +1,115 @@
-// placeholder
+// What the fleet's view costs a member, on a virtual clock, up to the members that fit into one process.
+// By name: lotusyard_scale_tests "[hollow-view]".
+#include <catch2/catch.hpp>
+
+#include "hollow_view.h"
+
+namespace lotusyard::scale {
+namespace {
+
+constexpr double kSettle = 20000;  // milliseconds until what was told at the start is no news any more
+
+struct ViewCosts {
+  double sent = 0, received = 0, messages = 0, core_share = 0, memory = 0;
+};
+
+// One fleet for `seconds` of the virtual clock; each of `repeats` intervals gives one value.
+ViewCosts measure_view(const std::string& test, const HollowShape& shape, double seconds, int repeats) {
+  HollowView net(shape);
+  net.settle(kSettle);
+  const double memory = net.bytes_each();
+  REQUIRE(net.known_to_first() == shape.members);
+  std::map<std::string, std::vector<double>> figures;
+  for (int i = 0; i < repeats; ++i) {
+    const auto was = net.totals();
+    const double began = processor_seconds();
+    net.run(seconds * 1000);
+    const double used = processor_seconds() - began;
+    const auto now = net.totals();
+    figures["messages_s"].push_back((now.messages - was.messages) / seconds);
+    figures["sent_bytes_s"].push_back((now.sent - was.sent) / seconds);
+    figures["received_bytes_s"].push_back((now.received - was.received) / seconds);
+    figures["core_share"].push_back(used / seconds / static_cast<double>(shape.whole));
+  }
+  figures["memory_bytes"].push_back(memory);
+  figures["longest_message_bytes"].push_back(static_cast<double>(net.totals().longest));
+  figures["unreadable_messages"].push_back(static_cast<double>(net.totals().unreadable));
+  figures["suspected"].push_back(static_cast<double>(net.totals().suspected));
+  const auto count = [](std::size_t value) { return static_cast<double>(value); };
+  std::map<std::string, double> out;
+  for (const auto& [metric, values] : figures) {
+    out[metric] =
+        print({test,
+               shape.members,
+               "member",
+               metric,
+               seconds,
+               {{"hosts", count(shape.hosts)}, {"whole", count(shape.whole)}, {"dead", count(shape.dead)}}},
+              values);
+  }
+  return {out["sent_bytes_s"], out["received_bytes_s"], out["messages_s"], out["core_share"],
+          out["memory_bytes"]};
+}
+
+void measure_views(const std::string& test, const std::vector<HollowShape>& shapes, double seconds,
+                   int repeats) {
+  std::map<std::string, Series> series;
+  for (const auto& shape : shapes) {
+    const ViewCosts costs = measure_view(test, shape, seconds, repeats);
+    const double n = static_cast<double>(shape.members);
+    series["sent_bytes_s"].add(n, costs.sent);
+    series["received_bytes_s"].add(n, costs.received);
+    series["core_share"].add(n, costs.core_share);
+    series["memory_bytes"].add(n, costs.memory);
+    series["messages_s"].add(n, costs.messages);
+  }
+  const double hosts = static_cast<double>(shapes.front().hosts);
+  for (const auto& [metric, line] : series)
+    print_fit({test, 0, "member", metric, 0, {{"hosts", hosts}}}, "members", line, kTargetMembers);
+}
+
+// Every member is whole; the exchanges of a member come every 15 s, so intervals are multiples of that.
+TEST_CASE("the view, all members whole", "[.][scale][hollow-view]") {
+  std::vector<HollowShape> shapes;
+  for (const double n : numbers_of("LOTUSYARD_MEMBERS", {100, 300, 1000, 2000}))
+    shapes.push_back({static_cast<std::size_t>(n), static_cast<std::size_t>(n), 0, 0});
+  measure_views("view_whole", shapes, 15, 3);
+}
+
+TEST_CASE("the view, some members whole among stand-ins", "[.][scale][hollow-view]") {
+  std::vector<HollowShape> shapes;
+  for (const std::size_t n : {300, 1000, 3000, 10000, 16000}) shapes.push_back({n, 16, 0, 0});
+  measure_views("view_sampled", shapes, 60, 5);
+}
+
+TEST_CASE("the view with one member dead", "[.][scale][hollow-view]") {
+  std::vector<HollowShape> shapes;
+  for (const std::size_t n : {300, 1000, 3000, 10000, 16000}) shapes.push_back({n, 16, 0, 1});
+  measure_views("view_one_dead", shapes, 60, 3);
+}
+
+// Past 20,000 rows a message is refused by its reader, which shows as unreadable messages.
+TEST_CASE("the view with facts of hosts", "[.][scale][hollow-view]") {
+  for (const std::size_t hosts : {12, 120}) {
+    std::vector<HollowShape> shapes;
+    for (const std::size_t n : {30, 100, 300, 1000}) {
+      if (n * hosts <= 40000) shapes.push_back({n, 16, hosts, 0});
+    }
+    measure_views("view_facts", shapes, 60, 3);
+  }
+}
+
+TEST_CASE("the view's exchanges grow linearly", "[scale-short]") {
+  const ViewCosts few = measure_view("view_short", {50, 8, 0, 0}, 30, 1);
+  const ViewCosts many = measure_view("view_short", {200, 8, 0, 0}, 30, 1);
+  const ViewCosts whole = measure_view("view_short", {50, 50, 0, 0}, 30, 1);
+  CHECK(whole.sent == Approx(few.sent).epsilon(0.25));  // stand-ins ask and answer as members do
+  CHECK(whole.messages == Approx(few.messages).epsilon(0.1));
+  CHECK(many.messages == Approx(few.messages).epsilon(0.1));  // messages do not grow with members
+  const double grown = (many.sent - few.sent) / 150;          // bytes a second for each further member
+  CHECK(grown > 1);
+  CHECK(grown < 15);
+}
+
+}  // namespace
+}  // namespace lotusyard::scale
--- /dev/null
+++ b/tests/scale/flat_hollow_sweep.cpp
@@ -0,0 +1,200 @@
+// What the module's sweep costs, every 20 ms over all functions that one invoker knows, against functions and
+// hosts. Virtual clock, no sockets. By name: lotusyard_scale_tests "[hollow-sweep]".
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+#include "core/module.h"
+#include "point.h"
+
+namespace lotusyard::scale {
+namespace {
+
+using core::Millis;
+
+constexpr int kSweepsPerSecond = 50;
+const Millis kSweep{1000.0 / kSweepsPerSecond};
+constexpr int kInvokers = 16000;
+constexpr double kFunctionsAtTarget = 38750;  // 620,000 functions, each at 1,000 of 16,000 invokers
+const Millis kAnswerTime{20};
+
+core::Settings sweep_settings(Millis keep_alive) {
+  core::Settings s;
+  s.classes.resize(1);
+  s.classes[0].name = "check";
+  s.classes[0].semantics = robinfold::Semantics::repeatable;
+  s.classes[0].aim = s.classes[0].deadline = Millis(1500);
+  s.tick = Millis(4);
+  s.keep_alive = keep_alive;
+  s.order_timeout = Millis(10000);
+  s.miss_is_answered = s.orders = s.cancel = true;
+  s.max_attempts = 4;
+  s.routers = kInvokers;
+  s.seed = kSeed;
+  return s;
+}
+
+// One invoker's decisions, with hosts that answer every call at once.
+class Invoker {
+ public:
+  Invoker(std::size_t hosts, Millis keep_alive) : module_(sweep_settings(keep_alive), now_) {
+    core::HostList list;
+    for (std::size_t i = 0; i < hosts; ++i) {
+      core::WorkerEntry entry;
+      entry.worker = "h" + std::to_string(i);
+      entry.kind = "std";
+      entry.zone = "z";
+      list.entries.push_back(entry);
+    }
+    module_.report(now_, list);
+  }
+  // One call of the function, sent and answered. Its processor time is added up.
+  void call(std::uint64_t function) {
+    core::Call call;
+    call.class_name = "check";
+    call.function = function;
+    call.arrived = now_;
+    call.allow = Millis(1500);
+    const double began = processor_seconds();
+    auto steps = module_.pick(now_, ++calls_, call);
+    for (int turns = 0; turns < 8; ++turns) {
+      const auto* sent = first_send(steps);
+      if (sent == nullptr) break;
+      core::AttemptOutcome outcome;
+      outcome.attempt = {sent->call, 0};
+      outcome.host = sent->host;
+      outcome.outcome = core::Outcome::ok;
+      outcome.over = true;
+      outcome.elapsed = kAnswerTime;
+      ++answered_;
+      steps = module_.report(now_, outcome);
+    }
+    call_seconds_ += processor_seconds() - began;
+  }
+  // One sweep, with the deadlines that came due since the last; gives its processor time.
+  double sweep() {
+    now_ += kSweep;
+    const double began = processor_seconds();
+    module_.tick(now_);
+    return processor_seconds() - began;
+  }
+  std::uint64_t answered() const { return answered_; }
+  double call_seconds() const { return call_seconds_; }
+
+ private:
+  Millis now_{1000};
+  core::Module module_;
+  std::uint64_t calls_ = 0, answered_ = 0;
+  double call_seconds_ = 0;
+
+  static const core::SendStep* first_send(const core::Steps& steps) {
+    for (const auto& step : steps) {
+      if (const auto* send = std::get_if<core::SendStep>(&step)) return send;
+    }
+    return nullptr;
+  }
+};
+
+struct SweepCase {
+  std::string test;
+  std::size_t functions = 0, hosts = 0;
+};
+
+std::map<std::string, double> given_of(const SweepCase& c) {
+  return {{"functions", static_cast<double>(c.functions)}, {"hosts", static_cast<double>(c.hosts)}};
+}
+
+// Core share of the sweeps of each of `seconds` virtual seconds.
+std::vector<double> sweep_shares(Invoker& invoker, int seconds) {
+  std::vector<double> out;
+  for (int i = 0; i < seconds; ++i) {
+    double used = 0;
+    for (int k = 0; k < kSweepsPerSecond; ++k) used += invoker.sweep();
+    out.push_back(used);
+  }
+  return out;
+}
+
+// All functions are known and stay so: each has one copy, whose keep-alive has no end. Called once, then not.
+double measure_known(const SweepCase& c) {
+  const double before = allocated_bytes();
+  Invoker invoker(c.hosts, Millis(0));
+  for (std::uint64_t f = 1; f <= c.functions; ++f) invoker.call(f);
+  REQUIRE(invoker.answered() == c.functions);
+  sweep_shares(invoker, 2);  // timers of the calls' deadlines ring
+  print({c.test, 1, "member", "call_us", 0, given_of(c)},
+        {invoker.call_seconds() * 1e6 / static_cast<double>(c.functions)});
+  print({c.test, 1, "member", "memory_mb", 0, given_of(c)}, {(allocated_bytes() - before) / kMegabyte});
+  return print({c.test, 1, "member", "sweep_core_share", 1, given_of(c)}, sweep_shares(invoker, 5));
+}
+
+TEST_CASE("sweeps, by functions known", "[.][scale][hollow-sweep]") {
+  Series series;
+  for (const std::size_t functions : {100, 1000, 10000, 38750, 100000}) {
+    series.add(static_cast<double>(functions), measure_known({"sweep_by_functions", functions, 120}));
+  }
+  print_fit({"sweep_by_functions", 1, "member", "sweep_core_share", 0, {{"hosts", 120}}}, "functions", series,
+            kFunctionsAtTarget);
+}
+
+TEST_CASE("sweeps, by hosts", "[.][scale][hollow-sweep]") {
+  constexpr double hosts_at_target = 10000;
+  for (const std::size_t functions : {1000, 10000}) {
+    Series series;
+    for (const std::size_t hosts : {12, 120, 1000, 10000})
+      series.add(static_cast<double>(hosts), measure_known({"sweep_by_hosts", functions, hosts}));
+    print_fit({"sweep_by_hosts",
+               1,
+               "member",
+               "sweep_core_share",
+               0,
+               {{"functions", static_cast<double>(functions)}}},
+              "hosts", series, hosts_at_target);
+  }
+}
+
+// The share of one invoker at the size to come, with the memory of each function's order of hosts.
+TEST_CASE("sweeps, at the size to come", "[.][scale][hollow-sweep]") {
+  for (const std::size_t hosts : {12, 120, 1000, 10000}) measure_known({"sweep_at_size", 38750, hosts});
+}
+
+// As configured: copies lapse after 9 s, functions are called at random, once in 90 s on average. What is
+// known is then what was called of late.
+TEST_CASE("sweeps while functions are called seldom", "[.][scale][hollow-sweep]") {
+  constexpr double mean_pause_s = 90;
+  Series series;
+  for (const std::size_t functions : {1000, 10000, 38750, 100000}) {
+    const SweepCase c{"sweep_seldom", functions, 120};
+    const double before = allocated_bytes();
+    Invoker invoker(c.hosts, Millis(9000));
+    std::mt19937_64 random(kSeed);
+    const double calls_each = static_cast<double>(functions) / mean_pause_s / kSweepsPerSecond;
+    double owed = 0;
+    std::vector<double> shares;
+    for (int second = 0; second < 40; ++second) {
+      double used = 0;
+      for (int i = 0; i < kSweepsPerSecond; ++i) {
+        for (owed += calls_each; owed >= 1; --owed) invoker.call(1 + random() % functions);
+        used += invoker.sweep();
+      }
+      if (second >= 25) shares.push_back(used);  // more than a keep-alive and a deadline have passed
+    }
+    series.add(static_cast<double>(functions),
+               print({c.test, 1, "member", "sweep_core_share", 1, given_of(c)}, shares));
+    print({c.test, 1, "member", "call_us", 0, given_of(c)},
+          {invoker.call_seconds() * 1e6 / static_cast<double>(invoker.answered())});
+    print({c.test, 1, "member", "memory_mb", 0, given_of(c)}, {(allocated_bytes() - before) / kMegabyte});
+  }
+  print_fit({"sweep_seldom", 1, "member", "sweep_core_share", 0, {{"hosts", 120}}}, "functions", series,
+            kFunctionsAtTarget);
+}
+
+TEST_CASE("a sweep takes time in proportion to functions", "[scale-short]") {
+  const double few = measure_known({"sweep_short", 500, 12});
+  const double many = measure_known({"sweep_short", 4000, 12});
+  CHECK(many > 3 * few);  // 8 times the functions; caches and noise are allowed for
+  CHECK(many < 30 * few);
+}
+
+}  // namespace
+}  // namespace lotusyard::scale
--- /dev/null
+++ b/tests/scale/hollow_view.h
@@ -0,0 +1,227 @@
+// Many members' views in one process on a virtual clock: no sockets, but every message is worded and read as
+// on the links. Of a fleet too large for one process some members are whole, and all others are stand-ins
+// that answer and ask as often as a member at rest does, from one shared list.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "point.h"
+#include "tier.h"
+
+namespace lotusyard::scale {
+
+struct HollowShape {
+  std::size_t members = 100;
+  std::size_t whole = 100;  // of them, so many run; the rest are stand-ins
+  std::size_t hosts = 0;    // each member tells of so many
+  std::size_t dead = 0;     // members that everybody holds for dead, and tries now and then
+};
+
+class HollowView {
+ public:
+  explicit HollowView(const HollowShape& shape) : shape_(shape), random_(kSeed) {
+    pace_.members_most = shape.members + 1;  // above the program's 1024, or larger fleets are refused
+    list_.kind = view::Message::Kind::reply;
+    for (std::size_t i = 0; i < shape.members; ++i) {
+      list_.peers.push_back(peer(i));
+      by_address_[list_.peers.back().address] = i;
+    }
+    list_.self = list_.peers.front();
+    const std::size_t observers = shape.members - shape.dead;
+    for (std::size_t h = 0; h < shape.hosts; ++h) {
+      for (std::size_t i = 0; i < observers; ++i)
+        list_.facts.push_back({host(h), 0, name(i), kLife, h + 1, true});
+    }
+    reply_ = worded_parcel(list_);
+    view::Message asking = list_;
+    asking.kind = view::Message::Kind::exchange;
+    asking.self = list_.peers[std::min(shape.whole, observers - 1)];
+    asked_ = worded_parcel(std::move(asking));
+    before_members_ = allocated_bytes();
+    for (std::size_t i = 0; i < shape.whole; ++i) start(i);
+  }
+
+  // Until what was told at the start is no news any more, without the work of wording it.
+  void settle(double span) {
+    words_ = false;
+    run(span);
+    words_ = true;
+  }
+  void run(double span) {
+    const double until = now_ + span;
+    while (!events_.empty() && events_.top().at <= until) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = std::max(now_, event.at);
+      take(event);
+    }
+    now_ = until;
+  }
+  struct Totals {
+    double messages = 0, sent = 0, received = 0;  // of whole members, per member
+    std::uint64_t suspected = 0;
+    std::size_t longest = 0, unreadable = 0;
+  };
+  Totals totals() const {
+    Totals out = totals_;
+    const double whole = static_cast<double>(shape_.whole);
+    out.messages /= whole;
+    out.sent /= whole;
+    out.received /= whole;
+    for (const auto& node : nodes_) out.suspected += node.swim->counts().suspected;
+    return out;
+  }
+  // What one whole member holds, with its share of the messages under way.
+  double bytes_each() const {
+    return (allocated_bytes() - before_members_) / static_cast<double>(shape_.whole);
+  }
+  std::size_t known_to_first() const { return nodes_.front().swim->roll().all().size(); }
+
+ private:
+  static constexpr std::uint64_t kLife = 1764650000000;  // as that of a member that joined later
+  static constexpr double kDelay = 20;                   // milliseconds a message takes, on average
+  enum class What { tick, message, stand_in };
+  struct Node {
+    std::unique_ptr<view::Swim> swim;
+    double ticked_at = -1;  // when its next tick is planned; -1: none is
+    int periods = 0;        // of the stand-ins that ask it
+  };
+  // What is under way to one member: the message, and its wording where that is measured.
+  struct Parcel {
+    std::shared_ptr<const view::Message> message;
+    std::shared_ptr<const std::string> body;
+  };
+  struct Event {
+    double at = 0;
+    std::uint64_t order = 0;
+    What what = What::tick;
+    std::size_t to = 0;
+    Parcel parcel;
+    bool operator<(const Event& o) const { return std::tie(o.at, o.order) < std::tie(at, order); }
+  };
+  HollowShape shape_;
+  std::mt19937_64 random_;
+  view::Pace pace_;
+  view::Message list_;    // what every member knows
+  Parcel reply_, asked_;  // the same, as an answer of a stand-in's and as its question
+  std::vector<Node> nodes_;
+  std::unordered_map<std::string, std::size_t> by_address_;
+  std::priority_queue<Event> events_;
+  double now_ = 1000;
+  std::uint64_t order_ = 0;
+  bool words_ = false;
+  double before_members_ = 0;
+  Totals totals_;
+
+  static std::string name(std::size_t i) { return "m" + std::to_string(i); }
+  static std::string host(std::size_t h) { return "h" + std::to_string(h); }
+  view::Peer peer(std::size_t i) const {
+    const std::string address =
+        "10.0." + std::to_string(i / 250) + '.' + std::to_string(i % 250 + 1) + ":7400";
+    const bool gone = i >= shape_.members - shape_.dead;
+    return {name(i), address, kLife, 0, gone ? view::Standing::dead : view::Standing::alive, {}};
+  }
+  double chance() { return static_cast<double>(random_() % 100000) / 100000; }
+  void plan(Event event) {
+    event.order = ++order_;
+    events_.push(std::move(event));
+  }
+  void start(std::size_t i) {
+    view::Peer self = list_.peers[i];
+    self.standing = view::Standing::joining;
+    const view::Millis begins(now_ + chance() * pace_.period.count());
+    nodes_.emplace_back();
+    auto& swim = nodes_.back().swim;
+    swim = std::make_unique<view::Swim>(self, std::vector<std::string>{list_.self.address}, pace_, random_(),
+                                        begins);
+    swim->serve(begins);
+    for (std::size_t h = 0; h < shape_.hosts; ++h) swim->see(host(h), 0, true);
+    swim->receive(begins, list_);
+    swim->take_out();
+    swim->take_changes();
+    plan({begins.count(), 0, What::tick, i, {}});
+    nodes_.back().ticked_at = begins.count();
+    if (shape_.whole < shape_.members) plan({begins.count(), 0, What::stand_in, i, {}});
+  }
+  void take(const Event& event) {
+    Node& node = nodes_[event.to];
+    const view::Millis now(now_);
+    if (event.what == What::stand_in) return stand_in_asks(event.to);
+    if (event.what == What::tick) {
+      if (event.at != node.ticked_at) return;  // another was planned since
+      node.ticked_at = -1;
+      node.swim->tick(now);
+    } else {
+      receive(node, event);
+    }
+    carry_out(event.to);
+  }
+  void receive(Node& node, const Event& event) {
+    const view::Millis now(now_);
+    if (!words_ || !event.parcel.body) return node.swim->receive(now, *event.parcel.message);
+    const std::string& body = *event.parcel.body;
+    totals_.received += static_cast<double>(body.size());
+    if (const auto read = view::read_message(body))
+      node.swim->receive(now, *read);
+    else
+      ++totals_.unreadable;
+  }
+  static Parcel worded_parcel(view::Message message) {
+    auto body = std::make_shared<const std::string>(view::worded(message));
+    return {std::make_shared<const view::Message>(std::move(message)), std::move(body)};
+  }
+  void carry_out(std::size_t from) {
+    Node& node = nodes_[from];
+    for (auto& out : node.swim->take_out()) deliver(from, std::move(out));
+    node.swim->take_changes();
+    const double due = node.swim->due().count();
+    if (node.ticked_at >= 0 && node.ticked_at <= due) return;
+    node.ticked_at = std::max(due, now_);
+    plan({node.ticked_at, 0, What::tick, from, {}});
+  }
+  void deliver(std::size_t from, view::Swim::Outgoing&& out) {
+    const std::size_t to = by_address_.at(out.address);
+    const auto kind = out.message.kind;
+    const std::uint64_t number = out.message.number;
+    const Parcel parcel = words_ ? worded_parcel(std::move(out.message)) : unworded(std::move(out.message));
+    if (words_) {
+      ++totals_.messages;
+      totals_.sent += static_cast<double>(parcel.body->size());
+      totals_.longest = std::max(totals_.longest, parcel.body->size());
+    }
+    const double at = now_ + kDelay * (0.5 + chance());
+    if (to >= shape_.members - shape_.dead) return;
+    if (to < shape_.whole) return plan({at, 0, What::message, to, parcel});
+    if (kind == view::Message::Kind::exchange) return plan({at + kDelay, 0, What::message, from, reply_});
+    if (kind == view::Message::Kind::ping)
+      plan_from_stand_in(at + kDelay, from, to, view::Message::Kind::ack, number);
+  }
+  static Parcel unworded(view::Message message) {
+    return {std::make_shared<const view::Message>(std::move(message)), nullptr};
+  }
+  void plan_from_stand_in(double at, std::size_t to, std::size_t stand_in, view::Message::Kind kind,
+                          std::uint64_t number) {
+    view::Message message;
+    message.kind = kind;
+    message.number = number;
+    message.self = list_.peers[stand_in];
+    if (kind == view::Message::Kind::ack) message.about = message.self.name;
+    plan({at, 0, What::message, to, worded_parcel(std::move(message))});
+  }
+  // Each member is asked once in a period on average, and for a full exchange as often as it asks for one.
+  void stand_in_asks(std::size_t to) {
+    const std::size_t alive = shape_.members - shape_.dead;
+    const std::size_t stand_in = shape_.whole + random_() % (alive - shape_.whole);
+    plan_from_stand_in(now_, to, stand_in, view::Message::Kind::ping, ++order_);
+    if (++nodes_[to].periods % pace_.exchange_every == 0) plan({now_, 0, What::message, to, asked_});
+    plan({now_ + pace_.period.count(), 0, What::stand_in, to, {}});
+  }
+};
+
+}  // namespace lotusyard::scale
--- a/tests/scale/point.h
+++ b/tests/scale/point.h
@@ -1,6 +1,7 @@
 // What every scale test prints: one JSON line for each measured point, and one for each fitted slope.
 #pragma once
 
+#include <malloc.h>
 #include <time.h>
 
 #include <algorithm>
@@ -126,6 +127,12 @@
   return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
 }
 
+// Bytes that are allocated now; not known under sanitizers.
+inline double allocated_bytes() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
 // The processor seconds of each of `times` runs of `body`.
 template <typename Body>
 std::vector<double> timed(int times, const Body& body) {
