--- a/tests/scale/point.h
+++ b/tests/scale/point.h
@@ -95,10 +95,13 @@
   }
 };
 
-// Prints both fits of a series and what each says at `target`.
+// Prints three fits of a series (linear, power, linear in squares) and what each says at `target`.
 inline void print_fit(const Point& point, const std::string& against, const Series& series, double target) {
   if (series.x.size() < 2) return;
   const Line line = fit_line(series.x, series.y), power = fit_power(series.x, series.y);
+  std::vector<double> squares;
+  for (const double x : series.x) squares.push_back(x * x);
+  const Line square = fit_line(squares, series.y);
   const double most = *std::max_element(series.x.begin(), series.x.end());
   nlohmann::ordered_json out = {{"fit", point.test},
                                 {"role", point.role},
@@ -112,9 +115,12 @@
                                 {"exponent", power.slope},
                                 {"factor", std::exp(power.intercept)},
                                 {"r2_loglog", power.r_squared},
+                                {"slope_of_squares", square.slope},
+                                {"r2_of_squares", square.r_squared},
                                 {"target", target},
                                 {"linear_at_target", line.at(target)},
                                 {"power_at_target", std::exp(power.at(std::log(target)))},
+                                {"square_at_target", square.at(target * target)},
                                 {"times_beyond_measured", target / most}};
   for (const auto& [key, value] : point.given) out[key] = value;
   std::cout << out.dump() << std::endl;
