Hollow fleet: a simulation of the control tier at size, with an independent checker

Need: the control tier's promises (leases, proofs, replicas) have to be checked for thousands of invokers under every kind of fault, which no test with sockets can do in minutes. Change: tests/scale/ has a virtual clock, an agreed log and a leader stand-in, a network that carries encoded frames, hollow nodes and invokers around the real decision modules, random faults and a checker that knows true time.

--- /dev/null
+++ b/tests/scale/hollow_processes.h
@@ -0,0 +1,130 @@
+// Hollow nodes and invokers: the real decision modules of one process each, with a queue of what they send in
+// place of sockets.
+#pragma once
+
+#include <time.h>
+
+#include <deque>
+#include <limits>
+#include <memory>
+#include <unordered_map>
+
+#include "agreed_log.h"
+#include "control/control_node.h"
+#include "control/session.h"
+#include "hollow_network.h"
+
+namespace lotusyard::test {
+
+constexpr double never = std::numeric_limits<double>::infinity();
+constexpr std::size_t send_buffer = 256U << 10;  // of one connection, at a node
+
+struct Traffic {
+  std::uint64_t bytes_sent = 0, messages_sent = 0, bytes_received = 0, messages_received = 0;
+};
+
+// Processor time of the calls into one side.
+class CpuMeter {
+ public:
+  static bool enabled;
+  void start() {
+    if (enabled) began_ = read();
+  }
+  void stop() {
+    if (!enabled) return;
+    seconds_ += read() - began_;
+    ++spans_;
+  }
+  // Without what it costs to read the clock.
+  double seconds() const { return std::max(0.0, seconds_ - static_cast<double>(spans_) * cost_of_span()); }
+
+ private:
+  double began_ = 0, seconds_ = 0;
+  std::uint64_t spans_ = 0;
+  static double read();
+  static double cost_of_span();
+};
+
+struct HollowNode : control::ControlNode::Transport {
+  using LinkId = control::ControlNode::LinkId;
+  struct Outgoing {
+    LinkId link = 0;
+    Packet packet;
+  };
+  HollowNode(HollowNetwork& its_network, Endpoint where, DriftingClock its_clock)
+      : network(its_network), endpoint(where), clock(its_clock) {}
+
+  HollowNetwork& network;
+  Endpoint endpoint;
+  DriftingClock clock;
+  control::NodeAddress address;
+  std::unique_ptr<control::ControlNode> control;  // none: it is down
+  core::Counters counters;
+  std::uint64_t life = 0;
+  bool stopped = false;  // as by SIGSTOP
+  bool gone = false;     // with its machine: connections are not even refused
+  Index followed = 0;    // of the agreed log
+  double lease_end = 0;  // its own, true time
+  std::unordered_map<LinkId, control::MessageReader> readers;
+  std::vector<Outgoing> outbox;
+  std::deque<std::function<void()>> while_stopped;
+  Traffic traffic;
+  CpuMeter cpu;
+
+  bool up() const { return control != nullptr; }
+  void send(LinkId link, const std::string& frame) override;
+  bool has_room(LinkId link) const override;
+  void end(LinkId link) override;
+};
+
+struct HollowInvoker : control::Session::Transport {
+  struct Outgoing {
+    enum class Kind { connect, frame, disconnect };
+    Kind kind = Kind::frame;
+    std::string text;  // the frame, or the node's address
+  };
+  struct Move {
+    Index position = 0;
+    bool by_snapshot = false;
+  };
+  // Calls that began while the replica was at `position`; the last of them ends at `until`, true time.
+  struct Calls {
+    Index position = 0;
+    double until = 0;
+  };
+  HollowInvoker(Endpoint where, DriftingClock its_clock) : endpoint(where), clock(its_clock) {}
+
+  Endpoint endpoint;
+  DriftingClock clock;
+  std::unique_ptr<control::Replica> replica;
+  std::unique_ptr<control::Session> session;  // none: it is down
+  core::Counters counters;
+  std::uint64_t life = 0;
+  bool stopped = false;
+  std::uint64_t link = 0;  // 0: none
+  control::MessageReader reader{control::longest_to_invoker};
+  double tick_at = never;
+  std::vector<Move> moves;  // since the last look
+  std::vector<Outgoing> outbox;
+  std::deque<std::function<void()>> while_stopped;
+  std::deque<Calls> calls;
+  Traffic traffic;
+  CpuMeter cpu;
+
+  // As it was after the last call.
+  bool was_open = false;
+  Millis lease_until{0};
+  Index position = 0;
+  double node_lease_end = 0;  // true time; of the node whose packet is being taken
+
+  bool up() const { return session != nullptr; }
+  double lease_end() const { return lease_until.count() > 0 ? clock.truth(lease_until) : 0; }
+  bool holds(double now) const { return up() && session->holds(clock.local(now)); }
+  void connect(const control::NodeAddress& node) override {
+    outbox.push_back({Outgoing::Kind::connect, node.address});
+  }
+  void send(const std::string& frame) override { outbox.push_back({Outgoing::Kind::frame, frame}); }
+  void disconnect() override { outbox.push_back({Outgoing::Kind::disconnect, {}}); }
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/scale/leader_stand_in.cpp
@@ -0,0 +1,27 @@
+#include "leader_stand_in.h"
+
+namespace lotusyard::test {
+
+void LeaderStandIn::agreed(const std::vector<NodeReport>& reports, Millis now) {
+  for (const NodeReport& report : reports) {
+    const auto known = nodes_.find(report.node);
+    const bool old =
+        known != nodes_.end() &&
+        std::tie(report.life, report.stamp) < std::tie(known->second.latest.life, known->second.latest.stamp);
+    if (!old) nodes_[report.node] = {report, now};
+  }
+}
+
+Proof LeaderStandIn::conclude(Index last, Millis now) {
+  Proof found{last, last};
+  for (const auto& [number, node] : nodes_) {
+    if (now - node.agreed_at >= terms_.silent()) continue;
+    found.applied = std::min(found.applied, node.latest.floors.applied);
+    found.settled = std::min(found.settled, node.latest.floors.settled);
+  }
+  proof_.applied = std::max(proof_.applied, found.applied);
+  proof_.settled = std::max(proof_.settled, found.settled);
+  return proof_;
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/scale/tier_breaks.cpp
@@ -0,0 +1,5 @@
+// The control sources of this test are told here which of their rules to break.
+#include "../lotusyard/breaks_here.h"
+#include "core/breaks.h"
+
+bool lotusyard::breaks(const char* rule) { return rule_is_broken(rule); }
--- /dev/null
+++ b/tests/scale/tier_checker.cpp
@@ -0,0 +1,97 @@
+#include "tier_checker.h"
+
+namespace lotusyard::test {
+namespace {
+
+constexpr std::size_t kMostViolations = 50;
+constexpr std::size_t kViolationsShown = 3;
+constexpr double kRounding = 0.01;  // milliseconds; durations travel in microseconds
+
+}  // namespace
+
+const char* name_of(TierChecker::Rule rule) {
+  switch (rule) {
+    case TierChecker::Rule::lease_behind_proof: return "lease_behind_proof";
+    case TierChecker::Rule::settled_behind_proof: return "settled_behind_proof";
+    case TierChecker::Rule::lease_outlasts_node: return "lease_outlasts_node";
+    case TierChecker::Rule::records_differ: return "records_differ";
+  }
+  return "unknown";
+}
+
+void TierChecker::violate(Rule rule, double now, const HollowInvoker& invoker, const std::string& what) {
+  if (violations_.size() >= kMostViolations) return;
+  violations_.push_back({rule, now,
+                         "invoker " + std::to_string(invoker.endpoint.number) + " life " +
+                             std::to_string(invoker.life) + " at node " +
+                             (invoker.up() ? invoker.session->node().name : "-") + ": " + what});
+}
+
+bool TierChecker::found(Rule rule) const {
+  return std::any_of(violations_.begin(), violations_.end(),
+                     [&](const Violation& violation) { return violation.rule == rule; });
+}
+
+std::string TierChecker::text() const {
+  std::string out = std::to_string(violations_.size()) + " violations";
+  for (std::size_t i = 0; i < std::min(violations_.size(), kViolationsShown); ++i)
+    out += "\n  " + std::string(name_of(violations_[i].rule)) + " at " + std::to_string(violations_[i].at) +
+           " ms: " + violations_[i].what;
+  return out;
+}
+
+void TierChecker::moved(const HollowInvoker& invoker, Index from, const HollowInvoker::Move& move,
+                        double now) {
+  ++moves_;
+  const std::string step = std::to_string(from) + " -> " + std::to_string(move.position);
+  if (move.position <= from) violate(Rule::records_differ, now, invoker, "not forward: " + step);
+  if (move.position > fleet_.log().last()) violate(Rule::records_differ, now, invoker, "ahead: " + step);
+  if (!move.by_snapshot && fleet_.log().changes_between(from, move.position).size() != 1)
+    violate(Rule::records_differ, now, invoker, "not one change: " + step);
+  if (moves_ % compare_every_ != 0) return;
+  const auto state = fleet_.log().state(move.position);
+  if (state != nullptr && *state != invoker.replica->records())
+    violate(Rule::records_differ, now, invoker, "other records after " + step);
+}
+
+void TierChecker::leased(const HollowInvoker& invoker, Millis, double now) {
+  ++leases_;
+  const double end = invoker.lease_end();
+  if (end > invoker.node_lease_end + kRounding)
+    violate(Rule::lease_outlasts_node, now, invoker,
+            "by " + std::to_string(end - invoker.node_lease_end) + " ms");
+  if (!invoker.holds(now)) return;
+  const std::string where = "lease taken at " + std::to_string(invoker.position) + ", proved ";
+  if (invoker.position < fleet_.log().last_change(proof_.applied))
+    violate(Rule::lease_behind_proof, now, invoker, where + std::to_string(proof_.applied));
+  if (invoker.position < fleet_.log().last_change(proof_.settled))
+    violate(Rule::settled_behind_proof, now, invoker, where + std::to_string(proof_.settled));
+}
+
+// Calls that began while the replica was below `needed`, or may begin there now.
+bool TierChecker::busy_below(const HollowInvoker& invoker, Index needed, double now) const {
+  const bool behind = invoker.up() && invoker.position < needed && invoker.lease_until.count() > 0;
+  const double last_call = invoker.clock.true_span(fleet_.options().terms.last_call);
+  if (behind && invoker.lease_end() + last_call > now) return true;
+  return std::any_of(invoker.calls.begin(), invoker.calls.end(), [&](const HollowInvoker::Calls& calls) {
+    return calls.position < needed && calls.until > now;
+  });
+}
+
+void TierChecker::proved(const Proof& proof, double now) {
+  const Proof before = std::exchange(proof_, proof);
+  const Index applied = fleet_.log().last_change(proof.applied);
+  const Index settled = fleet_.log().last_change(proof.settled);
+  const bool applied_rose = applied > fleet_.log().last_change(before.applied);
+  const bool settled_rose = settled > fleet_.log().last_change(before.settled);
+  if (!applied_rose && !settled_rose) return;
+  for (const auto& invoker : fleet_.invokers()) {
+    const std::string where = "at " + std::to_string(invoker->position) + ", proved ";
+    if (applied_rose && invoker->position < applied && invoker->holds(now))
+      violate(Rule::lease_behind_proof, now, *invoker, where + std::to_string(proof.applied));
+    if (settled_rose && busy_below(*invoker, settled, now))
+      violate(Rule::settled_behind_proof, now, *invoker, where + std::to_string(proof.settled));
+  }
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/scale/tier_test.cpp
@@ -0,0 +1,43 @@
+// The control tier under every kind of fault, with a checker that knows the truth.
+#include <catch2/catch.hpp>
+#include <iostream>
+
+#include "tier_scenario.h"
+
+namespace lotusyard::test {
+namespace {
+
+constexpr std::uint64_t kSeeds = 10;
+
+TEST_CASE("no lease outlives what it promises, whatever fails", "[scale-short]") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Scenario scenario;
+    scenario.fleet.seed = seed;
+    const ScenarioResult result = run_scenario(scenario);
+    std::cout << "seed " << seed << ": " << result.moves << " moves, " << result.leases << " leases, proved "
+              << result.proof.applied << " and " << result.proof.settled << " of " << result.last << ", "
+              << result.live << " live, " << result.held << " with a lease, " << result.current
+              << " up to date\n";
+    INFO("seed " << seed << ": " << result.text);
+    CHECK(result.sound);
+    CHECK(result.held == result.live);
+    CHECK(result.current == result.live);
+  }
+}
+
+TEST_CASE("replicas bear a transport that loses and repeats deltas", "[scale-short]") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Scenario scenario;
+    scenario.fleet.seed = seed;
+    scenario.fleet.invokers = 100;
+    scenario.delta_loss = scenario.delta_repeat = 0.05;
+    const ScenarioResult result = run_scenario(scenario);
+    INFO("seed " << seed << ": " << result.text);
+    CHECK(result.sound);
+    CHECK(result.held == result.live);
+    CHECK(result.current == result.live);
+  }
+}
+
+}  // namespace
+}  // namespace lotusyard::test
