--- a/tests/scale/hollow_fleet.cpp
+++ b/tests/scale/hollow_fleet.cpp
@@ -24,7 +24,7 @@
 HollowFleet::HollowFleet(const FleetOptions& options)
     : options_(options),
       random_(options.seed),
-      network_(queue_, options.seed + 1),
+      network_(queue_, options.capacity, options.seed + 1),
       log_(initial_records(options), options.keeps_states),
       leader_(options.terms),
       leader_clock_(draw_clock()) {
--- a/tests/scale/hollow_fleet.h
+++ b/tests/scale/hollow_fleet.h
@@ -19,6 +19,7 @@
   control::Session::Pacing pacing;
   control::SessionTable::Limits sessions;
   control::ChangeLog::Limits changes;
+  HollowNetwork::Capacity capacity;
   std::size_t records = 40, value_bytes = 50;
   std::size_t change_bytes = 120;  // about so long is an encoded change
   bool keeps_states = true;
--- a/tests/scale/hollow_fleet_invokers.cpp
+++ b/tests/scale/hollow_fleet_invokers.cpp
@@ -175,7 +175,7 @@
 
 void HollowFleet::arrived_at_invoker(Link& link, Packet&& packet) {
   HollowInvoker& invoker = *invokers_[link.invoker->number];
-  const std::size_t size = packet.frame.size();
+  const std::size_t size = packet.frame.size(), send_buffer = network_.capacity().send_buffer;
   if (link.unread < send_buffer && link.unread + size >= send_buffer) {
     at(now() + link.latency, [this, node = link.node->number, id = link.id] { became_writable(node, id); });
   }
--- a/tests/scale/hollow_network.cpp
+++ b/tests/scale/hollow_network.cpp
@@ -3,7 +3,6 @@
 namespace lotusyard::test {
 namespace {
 
-constexpr double kBytesPerMillisecond = 10e3;  // of one connection
 constexpr double kLongestRepeatDelay = 3000;
 constexpr std::size_t kKindAt = 4;  // in a frame, behind its length
 constexpr char kDeltaKind = 7;
@@ -72,7 +71,7 @@
 void HollowNetwork::launch(Link& link, Direction direction, Packet packet) {
   Link::Way& way = link.way(direction);
   const double size = static_cast<double>(packet.frame.size());
-  way.free_at = std::max(way.free_at, queue_.now()) + size / kBytesPerMillisecond;
+  way.free_at = std::max(way.free_at, queue_.now()) + size / capacity_.bytes_per_millisecond;
   const double delay = link.latency * uniform(0.9, 1.3) + link.invoker->extra_delay + link.node->extra_delay;
   way.arrival = std::max(way.arrival, way.free_at + delay);
   queue_.at(way.arrival, [this, id = link.id, direction, packet = std::move(packet)]() mutable {
--- a/tests/scale/hollow_network.h
+++ b/tests/scale/hollow_network.h
@@ -69,7 +69,15 @@
  public:
   using Arrived = std::function<void(Link&, Direction, Packet&&)>;
 
-  HollowNetwork(EventQueue& queue, std::uint64_t seed) : queue_(queue), random_(seed) {}
+  // Of every connection.
+  struct Capacity {
+    double bytes_per_millisecond = 10e3;
+    std::size_t send_buffer = 256U << 10;  // at a node
+  };
+
+  HollowNetwork(EventQueue& queue, Capacity capacity, std::uint64_t seed)
+      : queue_(queue), capacity_(capacity), random_(seed) {}
+  const Capacity& capacity() const { return capacity_; }
   void when_arrived(Arrived arrived) { arrived_ = std::move(arrived); }
 
   Link& open(const Endpoint& invoker, std::uint64_t invoker_life, const Endpoint& node);
@@ -91,6 +99,7 @@
 
  private:
   EventQueue& queue_;
+  Capacity capacity_;
   std::mt19937_64 random_;
   Arrived arrived_;
   std::map<int, Cut> cuts_;
--- a/tests/scale/hollow_processes.cpp
+++ b/tests/scale/hollow_processes.cpp
@@ -38,7 +38,7 @@
 
 bool HollowNode::has_room(LinkId link) const {
   const Link* found = network.find(link);
-  return found != nullptr && found->unread < send_buffer;
+  return found != nullptr && found->unread < network.capacity().send_buffer;
 }
 
 void HollowNode::end(LinkId link) {
--- a/tests/scale/hollow_processes.h
+++ b/tests/scale/hollow_processes.h
@@ -17,7 +17,6 @@
 namespace lotusyard::test {
 
 constexpr double never = std::numeric_limits<double>::infinity();
-constexpr std::size_t send_buffer = 256U << 10;  // of one connection, at a node
 
 struct Traffic {
   std::uint64_t bytes_sent = 0, messages_sent = 0, bytes_received = 0, messages_received = 0;
--- a/tests/scale/random_faults.cpp
+++ b/tests/scale/random_faults.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr double kShortest = 500, kLongest = 14000;  // of a cut or a stop, milliseconds
+constexpr double kQuickRestart = 1500;
 constexpr double kShareOfInvokers = 0.1;
 constexpr int kBurst = 20;
 
@@ -19,7 +20,7 @@
 }
 
 void RandomFaults::strike() {
-  switch (fleet_.below(13)) {
+  switch (fleet_.below(14)) {
     case 0: return kill_node(true);
     case 1: return kill_node(false);
     case 2: return leave_node();
@@ -32,6 +33,7 @@
     case 9: return cut_node_from_log();
     case 10: return cut_invokers_from_nodes();
     case 11: return delay_some();
+    case 12: return restart_all_nodes();
     default: return burst();
   }
 }
@@ -45,8 +47,21 @@
 
 void RandomFaults::kill_node(bool resets) {
   const std::size_t node = some_node();
+  const double longest = fleet_.below(2) == 0 ? kQuickRestart : kLongest;
   fleet_.kill_node(node, resets);
-  fleet_.at(fleet_.now() + fleet_.uniform(kShortest, kLongest), [this, node] { fleet_.start_node(node); });
+  fleet_.at(fleet_.now() + fleet_.uniform(kShortest, longest), [this, node] { fleet_.start_node(node); });
+}
+
+// As by a fault that all of them have, while some invokers are cut off and keep their leases for a while.
+void RandomFaults::restart_all_nodes() {
+  cut_invokers_from_nodes();
+  for (std::size_t node = 0; node < fleet_.nodes().size(); ++node) {
+    fleet_.kill_node(node, fleet_.below(2) == 0);
+    fleet_.at(fleet_.now() + fleet_.uniform(kShortest, kQuickRestart), [this, node] {
+      fleet_.start_node(node);
+      fleet_.change();
+    });
+  }
 }
 
 void RandomFaults::leave_node() {
--- a/tests/scale/random_faults.h
+++ b/tests/scale/random_faults.h
@@ -17,6 +17,7 @@
 
   void strike();
   void kill_node(bool resets);
+  void restart_all_nodes();
   void leave_node();
   void stop_node();
   void stop_invokers();
--- a/tests/scale/tier_checker.cpp
+++ b/tests/scale/tier_checker.cpp
@@ -15,6 +15,7 @@
     case TierChecker::Rule::settled_behind_proof: return "settled_behind_proof";
     case TierChecker::Rule::lease_outlasts_node: return "lease_outlasts_node";
     case TierChecker::Rule::records_differ: return "records_differ";
+    case TierChecker::Rule::left_behind: return "left_behind";
   }
   return "unknown";
 }
@@ -94,4 +95,14 @@
   }
 }
 
+void TierChecker::expect_all_served(Index agreed, double now) {
+  for (const auto& invoker : fleet_.invokers()) {
+    if (!invoker->up()) continue;
+    const std::string where = "at " + std::to_string(invoker->position);
+    if (!invoker->holds(now)) violate(Rule::left_behind, now, *invoker, where + " without a lease");
+    if (invoker->position < fleet_.log().last_change(agreed))
+      violate(Rule::left_behind, now, *invoker, where + " of " + std::to_string(agreed));
+  }
+}
+
 }  // namespace lotusyard::test
--- a/tests/scale/tier_checker.h
+++ b/tests/scale/tier_checker.h
@@ -15,7 +15,8 @@
     lease_behind_proof,    // a lease is held behind an index that was concluded to be applied everywhere
     settled_behind_proof,  // the same of what was concluded to be settled, with calls under way
     lease_outlasts_node,   // a session's lease ends after the lease of the node that granted it
-    records_differ         // a change was skipped, or applied twice
+    records_differ,        // a change was skipped, or applied twice
+    left_behind            // an invoker was not up to date, or had no lease, long after the last fault
   };
   struct Violation {
     Rule rule;
@@ -30,6 +31,10 @@
   void leased(const HollowInvoker& invoker, Millis before, double now) override;
   void proved(const Proof& proof, double now) override;
 
+  // To be called once nothing has failed for a while: each live invoker must have all changes that were
+  // agreed upon until then, and a lease.
+  void expect_all_served(Index agreed, double now);
+
   const std::vector<Violation>& violations() const { return violations_; }
   bool found(Rule rule) const;
   std::string text() const;  // of the first violations
--- a/tests/scale/tier_scenario.cpp
+++ b/tests/scale/tier_scenario.cpp
@@ -3,7 +3,8 @@
 namespace lotusyard::test {
 namespace {
 
-constexpr int kAllCuts = 1000;  // their names are below
+constexpr int kAllCuts = 1000;            // their names are below
+constexpr double kOneMoreChange = 10000;  // after all is well again, milliseconds
 
 // Everything that a fault has taken away is given back.
 void calm_down(HollowFleet& fleet) {
@@ -12,20 +13,26 @@
   fleet.network().delta_loss = fleet.network().delta_repeat = 0;
   for (std::size_t i = 0; i < fleet.nodes().size(); ++i) fleet.start_node(i);
   for (std::size_t i = 0; i < fleet.invokers().size(); ++i) fleet.start_invoker(i);
-}
-
-void count_invokers(const HollowFleet& fleet, ScenarioResult& out) {
-  const Index newest = fleet.log().last_change(fleet.log().last());
-  for (const auto& invoker : fleet.invokers()) {
-    if (!invoker->up()) continue;
-    ++out.live;
-    if (invoker->holds(fleet.now())) ++out.held;
-    if (invoker->position >= newest) ++out.current;
-  }
+  // A lost delta shows only when the next one comes.
+  fleet.at(fleet.now() + kOneMoreChange, [&fleet] { fleet.change(); });
 }
 
 }  // namespace
 
+Scenario planted_scenario(std::uint64_t seed) {
+  Scenario out;
+  out.fleet.seed = seed;
+  out.fleet.invokers = 60;
+  out.fleet.nodes = 4;
+  out.fleet.records = 10;
+  out.calm = 25000;
+  out.span = 50000;
+  out.changes_per_second = 4;
+  out.fleet.capacity = {20, 512};  // slow connections, on which it takes a while to catch up
+  out.delta_loss = out.delta_repeat = 0.05;
+  return out;
+}
+
 ScenarioResult run_scenario(const Scenario& scenario) {
   HollowFleet fleet(scenario.fleet);
   TierChecker checker(fleet);
@@ -38,6 +45,7 @@
   fleet.run(scenario.span);
   calm_down(fleet);
   fleet.run(scenario.calm);
+  if (scenario.calm > 0) checker.expect_all_served(fleet.log().last(), fleet.now());
   ScenarioResult out;
   out.violations = checker.violations();
   out.sound = out.violations.empty();
@@ -46,7 +54,6 @@
   out.last = fleet.log().last();
   out.moves = checker.moves();
   out.leases = checker.leases();
-  count_invokers(fleet, out);
   return out;
 }
 
--- a/tests/scale/tier_scenario.h
+++ b/tests/scale/tier_scenario.h
@@ -13,18 +13,19 @@
   Proof proof;
   Index last = 0;  // of the log
   std::uint64_t moves = 0, leases = 0;
-  std::size_t live = 0, held = 0, current = 0;  // invokers at the end: live, with a lease, up to date
 };
 
 struct Scenario {
   FleetOptions fleet;
-  double span = 60000;        // with faults, milliseconds of virtual time
-  double calm = 15000;        // after them
-  double fault_pause = 2000;  // between two faults, about
+  double span = 30000;        // with faults, milliseconds of virtual time
+  double calm = 25000;        // after them; then every invoker must be served, unless it is 0
+  double fault_pause = 1200;  // between two faults, about
   double changes_per_second = 2;
   double delta_loss = 0, delta_repeat = 0;
 };
 
 ScenarioResult run_scenario(const Scenario& scenario);
+// The small and short one in which the checker looks for planted faults.
+Scenario planted_scenario(std::uint64_t seed);
 
 }  // namespace lotusyard::test
--- a/tests/scale/tier_test.cpp
+++ b/tests/scale/tier_test.cpp
@@ -15,13 +15,9 @@
     scenario.fleet.seed = seed;
     const ScenarioResult result = run_scenario(scenario);
     std::cout << "seed " << seed << ": " << result.moves << " moves, " << result.leases << " leases, proved "
-              << result.proof.applied << " and " << result.proof.settled << " of " << result.last << ", "
-              << result.live << " live, " << result.held << " with a lease, " << result.current
-              << " up to date\n";
+              << result.proof.applied << " and " << result.proof.settled << " of " << result.last << "\n";
     INFO("seed " << seed << ": " << result.text);
     CHECK(result.sound);
-    CHECK(result.held == result.live);
-    CHECK(result.current == result.live);
   }
 }
 
@@ -34,8 +30,6 @@
     const ScenarioResult result = run_scenario(scenario);
     INFO("seed " << seed << ": " << result.text);
     CHECK(result.sound);
-    CHECK(result.held == result.live);
-    CHECK(result.current == result.live);
   }
 }
 
