--- a/tests/scale/hollow_fleet.h
+++ b/tests/scale/hollow_fleet.h
@@ -46,6 +46,9 @@
   void at(double when, EventQueue::Action action) { queue_.at(when, std::move(action)); }
   void run(double span) { queue_.run_until(now() + span); }
   void observe(FleetObserver& observer) { observers_.push_back(&observer); }
+  void forget(FleetObserver& observer) {
+    observers_.erase(std::remove(observers_.begin(), observers_.end(), &observer), observers_.end());
+  }
   const AgreedLog& log() const { return log_; }
   HollowNetwork& network() { return network_; }
   std::vector<std::unique_ptr<HollowNode>>& nodes() { return nodes_; }
