--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -38,7 +38,7 @@
 
 void ControlNode::applied(Index index, const Change& change) {
   changes_.append(index, change);
-  pump_all();
+  if (!change.empty()) pump_all();  // most entries of the log are not for the invokers
 }
 
 void ControlNode::set_nodes(std::vector<NodeAddress> nodes) {
