--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -52,7 +52,7 @@
 }
 
 void Replica::abandon_snapshot() {
-  pieces_ = std::string();  // gives its memory back
+  std::string().swap(pieces_);  // gives its memory back; an assignment would keep it
   piecing_ = 0;
   total_ = 0;
 }
