--- a/tests/scale/hollow_view.h
+++ b/tests/scale/hollow_view.h
@@ -81,7 +81,7 @@
   double bytes_each() const {
     return (allocated_bytes() - before_members_) / static_cast<double>(shape_.whole);
   }
-  std::size_t known_to_first() const { return nodes_.front().swim->roll().all().size(); }
+  std::size_t known_to_first() const { return nodes_.front().swim->member_table().all().size(); }
 
  private:
   static constexpr std::uint64_t kLife = 1764650000000;  // as that of a member that joined later
