--- a/src/works/coordinator_leads.cpp
+++ b/src/works/coordinator_leads.cpp
@@ -1,6 +1,7 @@
 // What the one member that leads does for works: it gathers signs of life and proposes what the order says.
 #include "config/json_read.h"
 #include "works/coordinator.h"
+#include "works/gather.h"
 
 namespace lotusyard::works {
 namespace {
@@ -66,13 +67,10 @@
   json waits = order_.waits();
   const std::string told = waits.dump();
   if (!heard_.empty() || told != waits_) {
-    Entry beats;
-    beats.kind = Kind::beats;
-    for (auto& [member, beat] : heard_) beats.beats.push_back(std::move(beat));
-    beats.reason = told;
-    heard_.clear();
+    const Gathered gathered = gather(std::exchange(heard_, {}), told);
     waits_ = told;
-    member_->propose(*this, worded(beats));
+    wiring_.counters.add("works.too_long", gathered.left_out);
+    for (const Entry& beats : gathered.entries) member_->propose(*this, worded(beats));
   }
   if (next) propose(*next);
 }
--- /dev/null
+++ b/src/works/gather.h
@@ -0,0 +1,21 @@
+// Signs of life as the member that leads puts them into the log: in entries of bounded length. No I/O.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "works/entry.h"
+
+namespace lotusyard::works {
+
+struct Gathered {
+  std::vector<Entry> entries;
+  std::size_t left_out = 0;  // signs of life too long for any entry
+};
+
+// All that was heard, by member, in as few entries as the bound on an entry's wording allows; each carries
+// `reason`. At least one entry.
+Gathered gather(std::map<std::string, Beat>&& heard, const std::string& reason);
+
+}  // namespace lotusyard::works
