Tests: split the cluster rig into relay, processes, work and its rules

Change: group_relay.h (before a member's port), process_rig.h (processes, hosts, clients), work_rig.h (one work, disturbed), work_rules.h (the checker), regulated.h (proposals about certificates, from fleet_test.cpp). Assertions are unchanged.

--- a/tests/lotusyard/fleet_test.cpp
+++ b/tests/lotusyard/fleet_test.cpp
@@ -1,6 +1,7 @@
 // The fleet's view and the parts of what all may send cold hosts, at whole members: real processes with
 // stand-in hosts and clients, a relay among them that cuts, and kills and restarts.
 #include "cluster.h"
+#include "regulated.h"
 
 namespace lotusyard::test {
 namespace {
@@ -45,17 +46,6 @@
     }
     return out;
   }
-  template <typename Until>
-  bool soon(const Until& done, double seconds = 15) {  // logs are read now and then
-    double checked = 0;
-    return until(
-        [&] {
-          if (world.loop.now().count() < checked) return false;
-          checked = world.loop.now().count() + 50;
-          return done();
-        },
-        seconds);
-  }
   bool all_hold(double part) {
     return soon([&] {
       const auto all = parts();
@@ -142,52 +132,10 @@
   CHECK(fleet.broken_rule(1) == "");
 }
 
-// An operator's word about regimes, at any member, until all have applied it.
-void agree(Fleet& fleet, nlohmann::json what, const std::string& id, const std::set<std::string>& but = {}) {
-  what["id"] = id;
-  double again = 0;
-  const bool agreed = fleet.soon([&] {
-    if (fleet.world.loop.now().count() >= again) {
-      fleet.s.ask(fleet.members[0]->door, "POST", "/-/compliance/propose/" + Cluster::escaped(what.dump()));
-      again = fleet.world.loop.now().count() + 500;
-    }
-    return std::all_of(fleet.members.begin(), fleet.members.end(), [&](const auto& m) {
-      return but.count(m->name) != 0 || fleet.s.ask(m->door, "GET", "/-/compliance/outcome/" + id) == 200;
-    });
-  });
-  INFO(fleet.all_logs());
-  REQUIRE(agreed);
-}
-// When the last member, of those that follow, wrote such a line.
-double wrote(const Fleet& fleet, const std::string& text) {
-  double out = 0;
-  for (const auto& line : fleet.lines()) {
-    const auto at = line.find(" at=");
-    if (line.find(text) != std::string::npos && at != std::string::npos)
-      out = std::max(out, std::stod(line.substr(at + 4)));
-  }
-  return out;
-}
-std::size_t calls_at(const Fleet& fleet, std::size_t host, double after) {
-  const auto& all = fleet.execs.at(host);
-  return static_cast<std::size_t>(
-      std::count_if(all.begin(), all.end(), [&](const auto& e) { return e.at > after; }));
-}
-
 TEST_CASE("regulated calls stay at certified hosts; a revocation's answer holds; who cannot know sends none",
           "[processes]") {
   Fleet fleet(53, 3);
   REQUIRE(fleet.all_ready(30));
-  const auto certify = [](const std::string& name, const std::string& host) {
-    return nlohmann::json{{"t", "certify"},
-                          {"certificate",
-                           {{"name", name},
-                            {"host", host},
-                            {"regime", "export"},
-                            {"from_ms", 1},
-                            {"until_ms", 4e12},
-                            {"outlives_start", true}}}};
-  };
   agree(fleet, {{"t", "regime"}, {"regime", {{"name", "export"}}}}, "1");
   agree(fleet, {{"t", "tenant"}, {"tenant", ""}, {"regimes", {"export"}}}, "2");
   agree(fleet, certify("c0", "h0"), "3");
--- /dev/null
+++ b/tests/lotusyard/group_relay.h
@@ -0,0 +1,89 @@
+// A relay on the test's own loop that stands before one member of a group and cuts and resets what the other
+// members send it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "group/wire.h"
+#include "helper.h"
+
+namespace lotusyard::test {
+
+using group::Frame;
+using group::FrameParser;
+
+// Stands before one member: what others send it comes through here, and can be cut, delayed and reset.
+class GroupRelay {
+ public:
+  GroupRelay(World& world, std::string to)
+      : server(world.loop, world.pool, *this), world_(world), to_(std::move(to)) {}
+  class Peer final : public net::Stream {
+   public:
+    Peer(GroupRelay& relay, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), relay_(relay), inner_(relay) {
+      inner_.back = [this](std::string_view more) {
+        if (!dead) write(more);
+      };
+      inner_.gone = [this] { end_later(); };
+    }
+    std::string from;
+    bool dead = false;
+    void over() {
+      inner_.end_later();
+      end_later();
+    }
+
+   private:
+    struct Inner final : net::Stream {
+      explicit Inner(GroupRelay& relay)
+          : Stream(relay.world_.loop, relay.world_.pool, net::connect_to(relay.to_), true) {}
+      void connected() override { loop().flush_later(*this); }
+      void received(std::string_view bytes) override {
+        if (back) back(bytes);
+      }
+      void ended() override {
+        if (gone) gone();
+      }
+      std::function<void(std::string_view)> back;
+      std::function<void()> gone;
+    };
+    GroupRelay& relay_;
+    Inner inner_;
+    FrameParser parser_;
+    void received(std::string_view bytes) override {
+      if (from.empty()) {
+        std::vector<Frame> frames;
+        if (!parser_.take(bytes, frames)) return over();
+        if (!frames.empty()) from = group::read_hello(frames[0].body).value_or(group::Hello()).member;
+      }
+      if (relay_.cut.count(from) != 0) dead = true;  // whatever comes is lost, and nobody is told
+      if (dead) return;
+      inner_.write(bytes);
+    }
+    void ended() override {
+      inner_.end_later();
+      relay_.server.gone(*this);
+    }
+  };
+  void reset() {
+    for (const auto& peer : server.peers) peer->over();
+  }
+  void heal(const std::string& from) {
+    cut.erase(from);
+    for (const auto& peer : server.peers) {
+      if (peer->dead) peer->over();
+    }
+  }
+  std::set<std::string> cut;  // members from whom nothing comes through
+  Server<Peer, GroupRelay> server;
+
+ private:
+  World& world_;
+  std::string to_;
+};
+
+}  // namespace lotusyard::test
--- a/tests/lotusyard/service.h
+++ b/tests/lotusyard/service.h
@@ -130,21 +130,14 @@
   }
   // The status of an answer at the operators' door; 0 if nobody opens.
   int ask(const std::string& console, const std::string& method, const std::string& path) {
-    class Call final : public net::Stream {
-     public:
-      Call(World& world, const std::string& address)
-          : Stream(world.loop, world.pool, net::connect_to(address), true) {}
-      std::string got;
-      bool closed = false;
-
-     private:
-      void connected() override { loop().flush_later(*this); }
-      void received(std::string_view bytes) override { got += bytes; }
-      void ended() override { closed = true; }
-    } call(world, console);
-    call.write(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
-    REQUIRE(until([&] { return call.closed; }));
-    return call.got.size() < 12 ? 0 : std::stoi(call.got.substr(9, 3));
+    const std::string got = answer(console, method, path);
+    return got.size() < 12 ? 0 : std::stoi(got.substr(9, 3));
+  }
+  // The body of an answer; empty if there is none.
+  std::string get(const std::string& console, const std::string& path) {
+    const std::string got = answer(console, "GET", path);
+    const auto head = got.find("\r\n\r\n");
+    return head == std::string::npos ? std::string() : got.substr(head + 4);
   }
   bool ready(const std::string& console) {
     return until([&] { return ask(console, "GET", "/-/ready") == 200; });
@@ -169,6 +162,23 @@
 
  private:
   bool inherited_;
+  std::string answer(const std::string& console, const std::string& method, const std::string& path) {
+    class Call final : public net::Stream {
+     public:
+      Call(World& world, const std::string& address)
+          : Stream(world.loop, world.pool, net::connect_to(address), true) {}
+      std::string got;
+      bool closed = false;
+
+     private:
+      void connected() override { loop().flush_later(*this); }
+      void received(std::string_view bytes) override { got += bytes; }
+      void ended() override { closed = true; }
+    } call(world, console);
+    call.write(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(until([&] { return call.closed; }));
+    return call.got;
+  }
   int bodies_ = 0;
 };
 
--- /dev/null
+++ b/tests/lotusyard/work_rig.h
@@ -0,0 +1,75 @@
+// A rig in which one work over all hosts is settled while the processes are disturbed.
+#pragma once
+
+#include "process_rig.h"
+
+namespace lotusyard::test {
+
+class WorkRig : public ProcessRig {
+ public:
+  using ProcessRig::ProcessRig;
+
+  virtual void disturb() = 0;
+  virtual void heal() = 0;  // of everything but processes that do not run
+
+  bool add(const std::string& id, int out) {
+    nlohmann::json work = {
+        {"t", "add"},
+        {"id", "add-" + id},
+        {"added", {{"id", id}, {"select", {{"all", true}}}, {"bounds", {{"out", out}, {"usable", 0.5}}}}}};
+    const auto runs = [](const auto* p) { return p->back_at == 0; };
+    return until(
+        [&] {
+          const auto running = std::find_if(operated.begin(), operated.end(), runs);
+          if (running != operated.end()) propose(**running, work);
+          const auto course = works::read_timeline(lines());
+          return std::any_of(course.happenings.begin(), course.happenings.end(),
+                             [&](const auto& h) { return h.what == "add"; });
+        },
+        20);
+  }
+  // Every host has been out and is back.
+  bool done() const {
+    const auto course = works::read_timeline(lines());
+    std::map<std::string, int> back;
+    for (const auto& h : course.happenings) back[h.host] += h.what == "back";
+    int all = 0;
+    for (const auto& [host, times] : back) all += times > 0;
+    return all == static_cast<int>(world.host.size());
+  }
+  // One work over all hosts, with as many disturbances; what is broken, else empty.
+  std::string run(int disturbances, int most_out) {
+    REQUIRE(until([&] { return s.ask(operated[0]->door, "GET", "/-/ready") == 200; }, 20));
+    REQUIRE(add("w", most_out));
+    for (int i = 0; i < disturbances; ++i) {
+      const double next = now() + 100 + static_cast<double>(below(random, 500));
+      until([&] { return now() >= next; }, 10);
+      disturb();
+      give_back(100);
+      const std::string broken = broken_rule(most_out);
+      if (!broken.empty()) return broken;
+    }
+    heal();
+    revive_all();
+    double checked = 0;
+    const bool ended = until(
+        [&] {
+          if (now() < checked) return false;
+          checked = now() + 100;
+          give_back(100);
+          return done();
+        },
+        60);
+    const std::string broken = broken_rule(most_out);
+    if (!broken.empty()) return broken;
+    if (!ended) return "the work does not end";
+    const auto answered = [](const auto* p) {
+      return !p->tablet || p->tablet->closed || p->tablet->open.size() < 40;
+    };
+    const bool all_answered =
+        until([&] { return std::all_of(processes.begin(), processes.end(), answered); }, 5);
+    return all_answered ? std::string() : "calls are not answered";
+  }
+};
+
+}  // namespace lotusyard::test
