Tests: the rig of the control tier's processes, and its checker of leases

Need: no process had run with control nodes yet. Change: TierCluster (voters, control nodes, invokers with sessions; relays before each session port and each group port), lease_rules (lines of leases against the agreed log), tests of a work, disturbances, a revocation, an invoker without a lease, a node that is told to end, and planted faults. Ports of test processes lie below the system's own range: one had been taken by a connection before its process listened.

--- a/src/works/order.cpp
+++ b/src/works/order.cpp
@@ -166,8 +166,10 @@
     const Board::Host& h = found->second;
     std::string not_now = board.over_bounds(work, key, board.listed());
     for (const auto& [name, m] : board.members()) {
-      if (m.serves && m.has < h.round)
-        not_now = "member " + name + " does not follow: it is to come back or to leave";
+      if (!m.serves || m.followed >= h.round) continue;
+      not_now = m.has < h.round
+                    ? "member " + name + " does not follow: it is to come back or to leave"
+                    : "an invoker of control node " + name + " may not know that " + key.id + " is next";
     }
     if (!not_now.empty()) {
       if (why.empty()) why = not_now;
--- /dev/null
+++ b/tests/control/tier_cluster.cpp
@@ -0,0 +1,250 @@
+#include "tier_cluster.h"
+
+#include "lease_rules.h"
+
+namespace lotusyard::test {
+namespace {
+
+using Way = Relay::Way;
+using Mode = Relay::Mode;
+
+constexpr int kVoters = 3, kNodes = 3;
+constexpr std::uint64_t kFunctions = 16;  // enough that every host has calls
+// Beyond the lease and the longest call, so that the group goes on without whoever is away.
+constexpr double kShortAbsence = 200, kLongAbsence = 1700;
+constexpr double kBeyondLease = 700;
+
+}  // namespace
+
+TierCluster::TierCluster(const TierOptions& options)
+    : WorkRig(options.seed, options.hosts, options.broken), options_(options) {
+  silent_one_in = options.silent_one_in;
+  functions = kFunctions;
+  quiet = true;  // clients call once all are ready
+  add_members();
+  add_invokers();
+  for (auto& member : members) start_member(*member);
+  for (auto& invoker : invokers) start_invoker(*invoker);
+}
+
+void TierCluster::add_members() {
+  const int count = options_.nodes_vote ? kNodes : kVoters + kNodes;
+  for (int i = 0; i < count; ++i) {
+    auto member = std::make_unique<Member>();
+    const bool is_node = options_.nodes_vote || i >= kVoters;
+    member->name = (is_node ? "n" : "v") + std::to_string(i);
+    member->listen = free_address();
+    member->door = free_address();
+    member->clients = free_address();
+    member->config = s.folder.path + "/" + member->name + ".json";
+    member->votes = i < kVoters;
+    member->relay = std::make_unique<GroupRelay>(world, member->listen);
+    if (is_node) member->sessions = free_address();
+    if (is_node) nodes.push_back(member.get());
+    if (member->votes) voters.push_back(member.get());
+    processes.push_back(member.get());
+    operated.push_back(member.get());
+    members.push_back(std::move(member));
+  }
+}
+
+void TierCluster::add_invokers() {
+  for (std::size_t i = 0; i < invoker_count; ++i) {
+    auto invoker = std::make_unique<Invoker>();
+    invoker->name = "i" + std::to_string(i);
+    invoker->door = free_address();
+    invoker->clients = free_address();
+    invoker->config = s.folder.path + "/" + invoker->name + ".json";
+    for (const auto* node : nodes)
+      invoker->relays.push_back(std::make_unique<Relay>(world.loop, node->sessions, random()));
+    processes.push_back(invoker.get());
+    called.push_back(invoker.get());
+    invokers.push_back(std::move(invoker));
+  }
+}
+
+void TierCluster::start_member(Member& member) {
+  nlohmann::json peers = nlohmann::json::array(), control_nodes = nlohmann::json::array();
+  for (const auto& one : members)
+    peers.push_back({{"name", one->name}, {"address", one->relay->server.address()}, {"votes", one->votes}});
+  for (const auto* node : nodes) control_nodes.push_back({{"name", node->name}, {"address", node->sessions}});
+  const bool is_node = !member.sessions.empty();
+  auto file = file_of(member, static_cast<int>(invoker_count));
+  file["group"] = {{"cluster", "yard"},       {"store", s.folder.path + "/" + member.name + ".db"},
+                   {"listen", member.listen}, {"members", peers},
+                   {"lease_ms", lease_ms},    {"election_ms", election_ms},
+                   {"serves", is_node}};
+  if (is_node) {
+    file["control"] = {{"listen", member.sessions}, {"offline_ms", options_.offline_ms}};
+    if (options_.learn_nodes) file["control"]["nodes"] = control_nodes;
+  }
+  std::ofstream(member.config) << file.dump();
+  const std::string init = std::string(LOTUSYARD_FULL) + " group init " + member.config + " >/dev/null";
+  REQUIRE(std::system(init.c_str()) == 0);
+  start(member);
+}
+
+void TierCluster::start_invoker(Invoker& invoker) {
+  nlohmann::json known = nlohmann::json::array();
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    if (options_.learn_nodes && i > 0) break;
+    known.push_back({{"name", nodes[i]->name}, {"address", invoker.relays[i]->address()}});
+  }
+  auto file = file_of(invoker, static_cast<int>(invoker_count));
+  file["control"] = {
+      {"cluster", "yard"}, {"nodes", known}, {"lease_ms", lease_ms}, {"offline_ms", options_.offline_ms}};
+  std::ofstream(invoker.config) << file.dump();
+  start(invoker);
+}
+
+void TierCluster::turn() {
+  for (std::size_t i = 0; i < undos_.size();) {
+    if (now() < undos_[i].at) {
+      ++i;
+      continue;
+    }
+    const auto act = std::move(undos_[i].act);
+    undos_.erase(undos_.begin() + static_cast<std::ptrdiff_t>(i));
+    act();
+  }
+  WorkRig::turn();
+}
+
+std::string TierCluster::broken_rule(int most_out) const {
+  const auto written = lines();
+  const std::string broken = broken_work_rule(written, execs, most_out);
+  return broken.empty() ? broken_lease_rule(written, absences) : broken;
+}
+
+// ---- Disturbances ----
+
+void TierCluster::set(Invoker& invoker, Way way, Mode mode) {
+  for (const auto& relay : invoker.relays) relay->set(way, mode);
+}
+
+void TierCluster::delay(Invoker& invoker, double most) {
+  for (const auto& relay : invoker.relays) {
+    for (const Way way : {Way::to_node, Way::to_invoker}) relay->delay(way, Millis(most));
+  }
+}
+
+void TierCluster::cut_sessions(Invoker& invoker, bool cut) {
+  for (const Way way : {Way::to_node, Way::to_invoker}) set(invoker, way, cut ? Mode::cut : Mode::open);
+}
+
+void TierCluster::cut_from_log(Member& member, bool cut) {
+  for (const auto& other : members) {
+    if (other.get() == &member) continue;
+    if (cut) {
+      other->relay->cut.insert(member.name);
+      member.relay->cut.insert(other->name);
+    } else {
+      other->relay->heal(member.name);
+      member.relay->heal(other->name);
+    }
+  }
+}
+
+void TierCluster::heal() {
+  undos_.clear();
+  for (auto& member : members) cut_from_log(*member, false);
+  for (auto& invoker : invokers) {
+    cut_sessions(*invoker, false);
+    delay(*invoker, 0);
+  }
+}
+
+void TierCluster::disturb() {
+  disturb(only_ ? *only_ : static_cast<Disturbance>(below(random, disturbances)));
+}
+
+void TierCluster::disturb(Disturbance kind) {
+  Member& node = one_of(nodes);
+  Invoker& invoker = one_of(invokers);
+  const double absence = span(kShortAbsence, kLongAbsence), long_absence = span(kBeyondLease, kLongAbsence);
+  const auto open_later = [&] { undo_later(absence, [this, &invoker] { cut_sessions(invoker, false); }); };
+  switch (kind) {
+    case Disturbance::kill_node: return kill_for(node, absence);
+    case Disturbance::kill_voter: return kill_for(one_of(voters), absence);
+    case Disturbance::kill_invoker: return kill_for(invoker, absence);
+    case Disturbance::stop_node: return stop_for(node, long_absence);
+    case Disturbance::stop_invoker: return stop_for(invoker, long_absence);
+    case Disturbance::silence_session:
+      cut_sessions(invoker, true);
+      return undo_later(long_absence, [this, &invoker] { cut_sessions(invoker, false); });
+    case Disturbance::delay_session:
+      delay(invoker, span(100, 1500));
+      return undo_later(absence, [this, &invoker] { delay(invoker, 0); });
+    case Disturbance::hold_session:
+      for (const Way way : {Way::to_node, Way::to_invoker}) set(invoker, way, Mode::held);
+      return open_later();
+    case Disturbance::cut_to_node: set(invoker, Way::to_node, Mode::cut); return open_later();
+    case Disturbance::cut_to_invoker: set(invoker, Way::to_invoker, Mode::cut); return open_later();
+    case Disturbance::reset_sessions:
+      for (const auto& relay : invoker.relays) relay->reset();
+      return;
+    case Disturbance::drop_session:
+      cut_sessions(invoker, true);
+      for (const auto& relay : invoker.relays) relay->close();
+      return open_later();
+    case Disturbance::cut_node_from_log:
+      cut_from_log(node, true);
+      return undo_later(long_absence, [this, &node] { cut_from_log(node, false); });
+    case Disturbance::restart_node_without_sessions:
+      for (const auto& one : invokers) cut_sessions(*one, true);
+      kill_for(node, 1);
+      return undo_later(long_absence, [this] {
+        for (const auto& one : invokers) cut_sessions(*one, false);
+      });
+  }
+}
+
+// ---- What processes show ----
+
+nlohmann::json TierCluster::ask(const std::string& door, const std::string& path) {
+  return nlohmann::json::parse(s.get(door, path), nullptr, false);
+}
+
+nlohmann::json TierCluster::session_of(const Invoker& invoker) { return ask(invoker.door, "/-/session"); }
+
+nlohmann::json TierCluster::group_of(const Member& member) { return ask(member.door, "/-/group"); }
+
+bool TierCluster::begin_calls() {
+  if (!all_ready(30) || !soon([this] { return all_sessions_open(); })) return false;
+  quiet = false;
+  return true;
+}
+
+bool TierCluster::all_sessions_open() {
+  return std::all_of(invokers.begin(), invokers.end(), [this](const auto& invoker) {
+    const auto shown = session_of(*invoker);
+    return shown.is_object() && shown.at("open").template get<bool>() &&
+           shown.at("lease_ms").template get<double>() > 0;
+  });
+}
+
+bool TierCluster::all_answered(double seconds) {
+  const auto answered = [](const auto* p) {
+    return !p->tablet || p->tablet->closed || p->tablet->open.empty();
+  };
+  return until([&] { return std::all_of(called.begin(), called.end(), answered); }, seconds);
+}
+
+int TierCluster::answers(const std::string& word) const {
+  int out = 0;
+  for (const auto* p : called) {
+    if (!p->tablet) continue;
+    for (const auto& [answer, body] : p->tablet->got) out += answer == word;
+  }
+  return out;
+}
+
+int TierCluster::silences() const {
+  int out = 0;
+  for (const auto& host : execs) {
+    for (const auto& e : host) out += e.until > e.at;
+  }
+  return out;
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/control/tier_processes_test.cpp
@@ -0,0 +1,158 @@
+// The control tier as real processes: a group with control nodes, invokers that have only sessions, stand-in
+// hosts and clients, and relays that cut, hold, delay and reset.
+#include "regulated.h"
+#include "tier_cluster.h"
+
+namespace lotusyard::test {
+namespace {
+
+using Disturbance = TierCluster::Disturbance;
+
+constexpr double kSlack = 500;  // for a busy machine
+
+TierOptions with_seed(std::uint64_t seed) {
+  TierOptions out;
+  out.seed = seed;
+  return out;
+}
+
+void require_ready(TierCluster& tier) {
+  const bool ready = tier.begin_calls();
+  INFO(tier.all_logs());
+  REQUIRE(ready);
+}
+
+int total_sessions(TierCluster& tier) {
+  int out = 0;
+  for (const auto* node : tier.nodes) out += tier.group_of(*node).at("control").at("sessions").get<int>();
+  return out;
+}
+
+std::size_t all_calls_after(const TierCluster& tier, double at) {
+  std::size_t out = 0;
+  for (std::size_t host = 0; host < tier.execs.size(); ++host) out += calls_at(tier, host, at);
+  return out;
+}
+
+TEST_CASE("control tier: invokers with sessions settle a work that members lead, and lose no call",
+          "[processes]") {
+  TierCluster tier(with_seed(1));
+  require_ready(tier);
+  REQUIRE(tier.soon([&] { return total_sessions(tier) == static_cast<int>(TierCluster::invoker_count); }));
+  const std::string broken = tier.run(0, 2);
+  INFO(tier.all_logs());
+  REQUIRE(broken == "");
+  tier.quiet = true;
+  CHECK(tier.all_answered(5));
+  const int answered = tier.number - tier.answers("OK");
+  CHECK(answered <= tier.silences());
+  int views = 0;
+  for (const auto* node : tier.nodes) {
+    const auto shown = tier.group_of(*node).at("control");
+    views += shown.at("views").get<int>();
+    CHECK(shown.at("applied").get<double>() >= shown.at("settled").get<double>());
+    CHECK(shown.at("records").get<int>() > 0);
+  }
+  CHECK(views >= static_cast<int>(TierCluster::invoker_count));
+}
+
+TEST_CASE("control tier: every rule holds whoever is killed, stopped, cut off, delayed or reset",
+          "[processes]") {
+  for (const std::uint64_t seed : {21, 22}) {
+    TierOptions options = with_seed(seed);
+    options.nodes_vote = seed == 22;
+    TierCluster tier(options);
+    require_ready(tier);
+    const std::string broken = tier.run(8, 2);
+    INFO("seed " << seed << "\n" << tier.all_logs());
+    REQUIRE(broken == "");
+  }
+}
+
+TEST_CASE("control tier: a revocation ends once no regulated call can go out, also where sessions are cut",
+          "[processes]") {
+  TierCluster tier(with_seed(3));
+  require_ready(tier);
+  agree(tier, {{"t", "regime"}, {"regime", {{"name", "export"}}}}, "1");
+  agree(tier, {{"t", "tenant"}, {"tenant", ""}, {"regimes", {"export"}}}, "2");
+  agree(tier, certify("c0", "h0"), "3");
+  agree(tier, certify("c1", "h1"), "4");
+  tier.wait(kSlack);
+  const double agreed = tier.now();
+  tier.wait(1000);
+  CHECK(calls_at(tier, 0, agreed) > 20);
+  CHECK(calls_at(tier, 1, agreed) > 20);
+  for (std::size_t host = 2; host < tier.execs.size(); ++host) CHECK(calls_at(tier, host, agreed) == 0);
+
+  tier.cut_sessions(*tier.invokers[0], true);
+  tier.cut_sessions(*tier.invokers[1], true);
+  agree(tier, {{"t", "revoke"}, {"name", "c0"}}, "5");
+  const bool ended = tier.soon([&] { return wrote(tier, "\"t\":\"ended\"") > 0; });
+  INFO(tier.all_logs());
+  REQUIRE(ended);
+  const double answered = first_wrote(tier, "\"t\":\"ended\"");
+  tier.wait(1000);
+  CHECK(calls_at(tier, 0, answered) == 0);
+  for (const auto& e : tier.execs[0]) CHECK(e.until <= answered);
+  CHECK(calls_at(tier, 1, answered) > 20);
+
+  for (const auto& invoker : tier.invokers) tier.cut_sessions(*invoker, true);
+  tier.wait(TierCluster::lease_ms + kSlack);
+  const double unleased = tier.now();
+  tier.wait(1000);
+  CHECK(all_calls_after(tier, unleased) == 0);
+  tier.heal();
+  CHECK(tier.soon([&] { return calls_at(tier, 1, unleased) > 20; }));
+  CHECK(calls_at(tier, 0, answered) == 0);
+}
+
+TEST_CASE("control tier: an invoker without a lease uses hosts for a stated time, then none, and comes back",
+          "[processes]") {
+  const TierOptions options = with_seed(4);
+  TierCluster tier(options);
+  require_ready(tier);
+  TierCluster::Invoker& away = *tier.invokers[0];
+  tier.called = {&away};
+  tier.cut_sessions(away, true);
+  tier.wait(TierCluster::lease_ms + kSlack);
+  const double unleased = tier.now();
+  tier.wait(kSlack);
+  CHECK(all_calls_after(tier, unleased) > 10);
+  tier.wait(options.offline_ms);
+  const double offline = tier.now();
+  tier.wait(1000);
+  INFO(tier.all_logs());
+  CHECK(all_calls_after(tier, offline) == 0);
+  CHECK(away.process->says("without a lease for too long: no host is used"));
+  tier.cut_sessions(away, false);
+  CHECK(tier.soon([&] { return all_calls_after(tier, offline) > 10; }));
+  CHECK(tier.session_of(away).at("open") == true);
+}
+
+TEST_CASE("control tier: a node that is told to end gives its sessions up, and no call fails for it",
+          "[processes]") {
+  TierOptions options = with_seed(5);
+  options.learn_nodes = true;
+  options.silent_one_in = 0;
+  TierCluster tier(options);
+  require_ready(tier);
+  // All were told of this one alone, so that most are there.
+  TierCluster::Member& leaving = *tier.nodes[0];
+  REQUIRE(tier.group_of(leaving).at("control").at("sessions") > 0);
+  tier.wait(kSlack);
+  leaving.process->signal(SIGTERM);
+  REQUIRE(tier.until([&] { return leaving.process->status() >= 0; }, 10));
+  CHECK(leaving.process->status() == 0);
+  tier.operated.erase(std::find(tier.operated.begin(), tier.operated.end(), &leaving));
+  const bool moved = tier.soon([&] { return tier.all_sessions_open(); });
+  INFO(tier.all_logs());
+  REQUIRE(moved);
+  for (const auto& invoker : tier.invokers) CHECK(tier.session_of(*invoker).at("node") != leaving.name);
+  tier.wait(1000);
+  tier.quiet = true;
+  CHECK(tier.all_answered(5));
+  CHECK(tier.answers("OK") == tier.number);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
--- a/tests/lotusyard/process_rig.h
+++ b/tests/lotusyard/process_rig.h
@@ -39,6 +39,7 @@
   std::string breaks;              // the rule that all processes break
   int number = 0;                  // of the last call
   std::size_t silent_one_in = 40;  // so many calls; the host gives it no answer. 0: none
+  std::uint64_t functions = 1;     // that clients call in turn; each has its own places
   double calls_at = 0;
   bool quiet = false;  // no calls
 
@@ -162,7 +163,8 @@
     if (p.tablet->open.size() > 50) return;
     const bool is_record = ++number % 3 == 0;
     p.tablet->call(number, is_record ? "bin-record" : "bin-check",
-                   (is_record ? "record " : "check ") + std::to_string(number), 350);
+                   (is_record ? "record " : "check ") + std::to_string(number), 350,
+                   0xa1 + static_cast<std::uint64_t>(number) % functions);
   }
   int propose(ServedProcess& p, const nlohmann::json& what) {
     return s.ask(p.door, "POST", "/-/works/propose/" + escaped(what.dump()));
--- a/tests/lotusyard/service.h
+++ b/tests/lotusyard/service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <list>
+#include <random>
 
 #include "helper.h"
 #include "net/fields.h"
@@ -10,10 +11,16 @@
 
 namespace lotusyard::test {
 
-// An address that nobody listens at, free a moment ago.
+// An address that nobody listens at, free a moment ago. Its port lies below those that the system gives to
+// connections, so that none takes it before the process that is to listen there has started.
 inline std::string free_address() {
-  const net::Socket socket = net::listen_on("127.0.0.1:0");
-  return net::bound_address(socket);
+  constexpr unsigned kFirst = 20000, kPorts = 12000;
+  static unsigned next = std::random_device()() % kPorts;
+  while (true) {
+    next = (next + 1) % kPorts;
+    const std::string address = "127.0.0.1:" + std::to_string(kFirst + next);
+    if (net::listen_on(address)) return address;
+  }
 }
 
 class ChangeLog {
@@ -57,11 +64,12 @@
  public:
   Tablet(World& world, const std::string& address)
       : Stream(world.loop, world.pool, net::connect_to(address), true) {}
-  void call(int number, const std::string& cls, const std::string& body, int allow = 800) {
+  void call(int number, const std::string& cls, const std::string& body, int allow = 800,
+            std::uint64_t function = 0xa1) {
     const std::string tag = std::to_string(number);
     std::string out;
     const std::string fields = "ref=" + net::hex16(std::hash<std::string>()(body + tag)) +
-                               ",allow=" + std::to_string(allow) + ",lookup=00000000000000a1";
+                               ",allow=" + std::to_string(allow) + ",lookup=" + net::hex16(function);
     resp::write_array(out, {"CALL", tag, cls, fields, body});
     open.emplace(tag, body);
     asked_at = loop().now();
