--- a/tests/control/tier_cluster.h
+++ b/tests/control/tier_cluster.h
@@ -71,7 +71,8 @@
   void disturb_only_by(Disturbance kind) { only_ = kind; }
   std::string broken_rule(int most_out) const override;
 
-  // Clients call from the moment on at which all processes are ready and have sessions; false: they are not.
+  // Clients call from the moment on at which all processes are ready, have sessions, and the nodes can
+  // account for all of them; false: that does not come.
   bool begin_calls();
 
   void cut_sessions(Invoker& invoker, bool cut);
@@ -81,6 +82,7 @@
   nlohmann::json session_of(const Invoker& invoker);
   nlohmann::json group_of(const Member& member);
   bool all_sessions_open();
+  bool all_followed();
   // No answer is outstanding any more at clients whose connection stands.
   bool all_answered(double seconds);
   int answers(const std::string& word) const;  // how many calls were answered with it
