Scale tests: the control tier with real processes

ProcessFleet starts control nodes and invokers as well; the proposer of certificates has a header of its own.

--- a/tests/scale/flat_processes.cpp
+++ b/tests/scale/flat_processes.cpp
@@ -3,14 +3,13 @@
 // LOTUSYARD_SCALE_S=60 for a longer interval.
 #include <catch2/catch.hpp>
 
+#include "certificate_proposer.h"
 #include "point.h"
 #include "process_fleet.h"
 
 namespace lotusyard::scale {
 namespace {
 
-constexpr double kChangesAtTarget = 0.43;  // a second
-
 struct RestCase {
   std::string test;
   FleetShape shape;
@@ -21,34 +20,6 @@
 // By role and metric: one value for each member of that role.
 using Figures = std::map<std::pair<std::string, std::string>, std::vector<double>>;
 
-// Proposes certificates at an even pace; each is one entry of the agreed log.
-class Proposer {
- public:
-  Proposer(ProcessFleet& fleet, const ProcessFleet::Member& at, double pace)
-      : fleet_(fleet), at_(at), pace_(pace) {
-    if (pace_ <= 0) return;
-    const nlohmann::json regime = {{"t", "regime"}, {"id", "regime"}, {"regime", {{"name", "r"}}}};
-    REQUIRE(fleet_.propose(at_, regime) == 202);
-    next_ = fleet_.now() + 1 / pace_;
-  }
-  void turn() {
-    if (pace_ <= 0 || fleet_.now() < next_) return;
-    next_ += 1 / pace_;
-    const std::string name = "c" + std::to_string(++count_);
-    const nlohmann::json certificate = {
-        {"name", name}, {"host", "h0"}, {"regime", "r"}, {"from_ms", 1}, {"until_ms", 4e12}};
-    const int status = fleet_.propose(at_, {{"t", "certify"}, {"id", name}, {"certificate", certificate}});
-    taken_ += status == 202;
-  }
-  int taken() const { return taken_; }
-
- private:
-  ProcessFleet& fleet_;
-  const ProcessFleet::Member& at_;
-  double pace_, next_ = 0;
-  int count_ = 0, taken_ = 0;
-};
-
 void add_rates(Figures& figures, const std::string& role, const UsageRate& rate, const Usage& after) {
   const auto add = [&](const char* metric, double value) { figures[{role, metric}].push_back(value); };
   add("core_share", rate.core_share);
--- a/tests/scale/process_fleet.h
+++ b/tests/scale/process_fleet.h
@@ -15,6 +15,9 @@
 constexpr double kLogPace = 1;          // seconds between the change log's signs of life
 constexpr double kCountersPrinted = 1;  // seconds that members are given to print their counters
 
+constexpr const char* kCluster = "scale";
+constexpr int kLeaseMs = 3000;
+
 // Addresses that nobody listens at, each given out once.
 class Ports {
  public:
@@ -39,16 +42,24 @@
   return out;
 }
 
+// The group's members, of which the last `control_nodes` have no vote, and invokers with sessions beside it.
 struct FleetShape {
   int members = 3, hosts = 12;
-  int voters() const { return members <= 3 ? members : 5; }
+  int control_nodes = 0, invokers = 0;
+  int voters() const {
+    const int candidates = members - control_nodes;
+    return candidates <= 3 ? candidates : 5;
+  }
 };
 
 class ProcessFleet {
  public:
+  enum class Kind { member, control_node, invoker };
   struct Member {
     std::string name, listen, door, clients, config, log;
     std::unique_ptr<test::Process> process;
+    Kind kind = Kind::member;
+    std::string sessions;  // a control node's listening address for sessions
   };
 
   explicit ProcessFleet(const FleetShape& shape) : shape_(shape) {
@@ -57,20 +68,28 @@
           "127.1." + std::to_string(i / 250) + '.' + std::to_string(i % 250 + 1) + ":9";
       service_.log.tell("h" + std::to_string(i), address, "ready");
     }
-    nlohmann::json peers = nlohmann::json::array();
     for (int i = 0; i < shape.members; ++i) {
-      const std::string name = "m" + std::to_string(i), path = service_.folder.path + "/" + name;
-      members_.push_back(
-          {name, ports_.next(), ports_.next(), ports_.next(), path + ".json", path + ".log", {}});
-      peers.push_back({{"name", name}, {"address", members_.back().listen}, {"votes", i < shape.voters()}});
+      const bool is_control_node = i >= shape.members - shape.control_nodes;
+      add("m" + std::to_string(i), is_control_node ? Kind::control_node : Kind::member);
+      const Member& added = members_.back();
+      peers_.push_back({{"name", added.name}, {"address", added.listen}, {"votes", i < shape.voters()}});
+      if (is_control_node) nodes_.push_back({{"name", added.name}, {"address", added.sessions}});
     }
-    for (auto& member : members_) start(member, peers);
+    for (int i = 0; i < shape.invokers; ++i) add("i" + std::to_string(i), Kind::invoker);
+    for (auto& member : members_) start(member);
   }
 
   std::vector<Member>& members() { return members_; }
   std::set<int> member_ports() const {
     std::set<int> out;
-    for (const auto& m : members_) out.insert(std::stoi(m.listen.substr(m.listen.rfind(':') + 1)));
+    for (const auto& m : members_) out.insert(port_of(m.listen));
+    return out;
+  }
+  std::set<int> session_ports() const {
+    std::set<int> out;
+    for (const auto& m : members_) {
+      if (m.kind == Kind::control_node) out.insert(port_of(m.sessions));
+    }
     return out;
   }
   // Whether every member has its lease and serves.
@@ -122,8 +141,9 @@
     }
     return out;
   }
-  std::vector<Usage> usage() const {
-    const auto ports = member_ports();
+  std::vector<Usage> usage() const { return usage(member_ports()); }
+  // Bytes of connections to one of `ports` are told apart from the rest.
+  std::vector<Usage> usage(const std::set<int>& ports) const {
     std::vector<Usage> out;
     for (const auto& m : members_) out.push_back(usage_of(m.process->pid(), ports));
     return out;
@@ -132,14 +152,25 @@
   int propose(const Member& at, const nlohmann::json& what) {
     return service_.ask(at.door, "POST", kProposeRegulation + percent_encoded(what.dump()));
   }
+  test::World& world() { return service_.world; }
 
  private:
   FleetShape shape_;
   test::Service service_{false};
   Ports ports_;
   std::vector<Member> members_;
+  nlohmann::json peers_ = nlohmann::json::array(), nodes_ = nlohmann::json::array();
   double log_spoke_ = 0;
 
+  static int port_of(const std::string& address) { return std::stoi(address.substr(address.rfind(':') + 1)); }
+
+  void add(const std::string& name, Kind kind) {
+    const std::string path = service_.folder.path + "/" + name;
+    members_.push_back(
+        {name, ports_.next(), ports_.next(), ports_.next(), path + ".json", path + ".log", {}, kind, {}});
+    if (kind == Kind::control_node) members_.back().sessions = ports_.next();
+  }
+
   // As the platform's log does: a log that is silent for longer is asked anew, and tells all hosts again.
   void keep_log_alive() {
     if (now() - log_spoke_ < kLogPace) return;
@@ -148,23 +179,33 @@
     for (const auto& peer : service_.log.server.peers) peer->write(line);
   }
 
-  void start(Member& m, const nlohmann::json& peers) {
+  nlohmann::json group_part(const Member& m) const {
+    return {{"cluster", kCluster},         {"store", service_.folder.path + "/" + m.name + ".db"},
+            {"listen", m.listen},          {"members", peers_},
+            {"lease_ms", kLeaseMs},        {"election_ms", 1000},
+            {"view", {{"period_ms", 500}}}};
+  }
+
+  nlohmann::json platform_file_of(const Member& m) {
     auto file = test::platform_file(m.clients, service_.log.server.address());
     file["name"] = m.name;
     file["console"] = m.door;
     file["limits"] = {{"cores", 0.5}, {"memory_mb", 128}, {"sockets", 1024}};
-    file["settings"]["Balancers"] = shape_.members;
+    file["settings"]["Balancers"] = shape_.members + shape_.invokers;
     file["settings"]["Bounds"]["Probes"] = false;
-    file["group"] = {{"cluster", "scale"},
-                     {"store", service_.folder.path + "/" + m.name + ".db"},
-                     {"listen", m.listen},
-                     {"members", peers},
-                     {"lease_ms", 3000},
-                     {"election_ms", 1000},
-                     {"view", {{"period_ms", 500}}}};
-    std::ofstream(m.config) << file.dump();
-    const std::string init = std::string(LOTUSYARD_FULL) + " group init " + m.config + " >/dev/null";
-    REQUIRE(std::system(init.c_str()) == 0);
+    if (m.kind != Kind::invoker) file["group"] = group_part(m);
+    if (m.kind == Kind::control_node) file["control"] = {{"listen", m.sessions}, {"nodes", nodes_}};
+    if (m.kind == Kind::invoker)
+      file["control"] = {{"cluster", kCluster}, {"lease_ms", kLeaseMs}, {"nodes", nodes_}};
+    return file;
+  }
+
+  void start(Member& m) {
+    std::ofstream(m.config) << platform_file_of(m).dump();
+    if (m.kind != Kind::invoker) {
+      const std::string init = std::string(LOTUSYARD_FULL) + " group init " + m.config + " >/dev/null";
+      REQUIRE(std::system(init.c_str()) == 0);
+    }
     const std::map<std::string, std::string> environment = {{"BALANCER_CONFIG", m.config},
                                                             {"TMPDIR", service_.folder.path}};
     m.process = std::make_unique<test::Process>(m.log, environment, nullptr, LOTUSYARD_FULL);
