--- a/src/compliance/officer.cpp
+++ b/src/compliance/officer.cpp
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-Officer::Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator, Note note)
+Officer::Officer(const Wiring& wiring, const group::Config& config, works::Coordinator& coordinator,
+                 Note note)
     : wiring_(wiring),
       config_(config),
       coordinator_(coordinator),
