Session member's tests: arrays of one row are arrays

Cause: a braced list of one JSON value is that value (session_member_test.cpp), so the board refused it.

--- a/tests/lotusyard/session_member_test.cpp
+++ b/tests/lotusyard/session_member_test.cpp
@@ -24,7 +24,7 @@
   works::Board out;
   REQUIRE(out.restore({{"index", index},
                        {"hosts", hosts},
-                       {"works", {works::worded_work(work)}},
+                       {"works", nlohmann::json::array({works::worded_work(work)})},
                        {"members", nlohmann::json::array()},
                        {"lives", nlohmann::json::object()},
                        {"outcomes", nlohmann::json::array()}},
@@ -62,7 +62,7 @@
 }  // namespace
 
 TEST_CASE("records made from the agreed state give the same state again, and change only where it changes") {
-  const works::Board board = board_with({host_row("h1", works::Stage::named, 4)}, 9);
+  const works::Board board = board_with(nlohmann::json::array({host_row("h1", works::Stage::named, 4)}), 9);
   compliance::Book book = book_with_certificate();
   const control::Records records = node::records_of(board, book);
   const auto board_again = node::board_of(records, 9, Millis(0));
