--- a/src/group/lease.h
+++ b/src/group/lease.h
@@ -12,9 +12,9 @@
 
 // What the group's members have in common; a member with other figures is turned away.
 struct Terms {
-  Millis lease{3000};      // from the sign of life that was agreed upon
-  double drift = 0.01;     // by so much one member's clock may run faster than another's
-  Millis last_call{2000};  // no call stays at a host for longer than this after it went out
+  Millis lease{3000};       // from the sign of life that was agreed upon
+  double drift = 0.01;      // by so much one member's clock may run faster than another's
+  Millis last_call{2000};   // no call stays at a host for longer than this after it went out
   Millis offline{7200000};  // so long an invoker with a session goes on without a lease, then it uses no host
 
   Millis beat() const { return lease / 4; }
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,12 +1,12 @@
 #include "wire.h"
 
-#include "config/json_read.h"
-#include "config/settings.h"
-
 #include <cmath>
 #include <type_traits>
 #include <utility>
 
+#include "config/json_read.h"
+#include "config/settings.h"
+
 namespace robinfold::simhost {
 namespace {
 
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -1,8 +1,8 @@
 // The gate: where a call or a copy may be at all. The module asks it wherever it considers a host.
-#include "rig.h"
-
 #include <gtest/gtest.h>
 
+#include "rig.h"
+
 namespace robinfold::test {
 namespace {
 
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -149,10 +149,10 @@
   };
   Server<Peer, StandInHost> server;
   std::function<Reaction(const std::string& body)> react = [](const std::string&) { return Reaction(); };
-  std::map<std::string, int> runs;  // by body: execs that may have run
+  std::map<std::string, int> runs;                            // by body: execs that may have run
   int execs = 0, drops = 0, orders = 0, signs = 0, asks = 0;  // asks: orders for no copy
-  std::vector<std::string> fields;                           // of each exec
-  bool mute = false;  // asked for a sign it gives none, as if cut off
+  std::vector<std::string> fields;                            // of each exec
+  bool mute = false;                                          // asked for a sign it gives none, as if cut off
 
  private:
   void take(Peer& peer, const hosts::Reply& line) {
@@ -331,16 +331,14 @@
           prefetch = in.u16();
           return say(method::basic_qos_ok, 1, Writer());
         case method::exchange_declare: return say(method::exchange_declare_ok, 1, Writer());
-        case method::queue_bind:
-          ++broker_.bindings;
-          return say(method::queue_bind_ok, 1, Writer());
+        case method::queue_bind: ++broker_.bindings; return say(method::queue_bind_ok, 1, Writer());
         case method::queue_declare: {
           in.u16();
           const std::string name = in.short_text();
           const bool passive = (in.u8() & 1) != 0;
           const Table wanted = in.table();
           const auto known = broker_.queues.find(name);
-          const int code = known == broker_.queues.end() ? (passive ? 404 : 0)
+          const int code = known == broker_.queues.end()         ? (passive ? 404 : 0)
                            : !passive && known->second != wanted ? 406
                                                                  : 0;
           if (code != 0)
@@ -404,7 +402,7 @@
   int closes = 0;
   int bindings = 0;
   std::map<std::string, amqp::Table> queues;  // declared, with their arguments
-  bool withhold = false;  // no confirm is sent
+  bool withhold = false;                      // no confirm is sent
 
   bool chance(unsigned in_thousand) { return below(random, 1000) < in_thousand; }
   // Sends a call; its fields as an operator's tablet would give them.
--- a/tests/lotusyard/keys_test.cpp
+++ b/tests/lotusyard/keys_test.cpp
@@ -24,9 +24,9 @@
 
 TEST_CASE("a key is bytes that can stand in a host's line") {
   for (const char* good : {"5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "a", "~!#:;/"}) CHECK(Keys::sound(good));
-  for (const std::string& bad : {std::string(), std::string("a b"), std::string("a,b"), std::string("a=b"),
-                                 std::string("a\r\n"), std::string("a\0", 2), std::string("\xC3\xA9"),
-                                 std::string(129, 'a')}) {
+  for (const std::string& bad :
+       {std::string(), std::string("a b"), std::string("a,b"), std::string("a=b"), std::string("a\r\n"),
+        std::string("a\0", 2), std::string("\xC3\xA9"), std::string(129, 'a')}) {
     CHECK_FALSE(Keys::sound(bad));
   }
 }
@@ -160,8 +160,8 @@
     Millis now{1000};
     Ledger desk(now);
     core::Counters counters;
-    auto dispatcher =
-        std::make_unique<core::Dispatcher>(s, [&now] { return now; }, desk, counters);
+    auto dispatcher = std::make_unique<core::Dispatcher>(
+        s, [&now] { return now; }, desk, counters);
     const auto place = [](int host) { return Place{"z" + std::to_string(host % 2), host % 3}; };
     const auto tell_list = [&](bool whole) {
       core::HostList list;
--- a/tests/lotusyard/service_test.cpp
+++ b/tests/lotusyard/service_test.cpp
@@ -1,11 +1,11 @@
 // Whole processes in service: the admin endpoint, hosts out by hand, settings at SIGHUP and replacement,
 // with stand-in hosts, a stand-in change log and clients on loopback.
+#include "service.h"
+
 #include <netinet/in.h>
 
 #include <set>
 
-#include "service.h"
-
 namespace lotusyard::test {
 namespace {
 
