A list from the configuration is relied on for the grace alone

Change: ReadinessRules::confirm_configured_list counts it as confirmed 2 s earlier. Test: hosts that drain after such a start; fails on the build before.

--- a/src/app/invoker_readiness.cpp
+++ b/src/app/invoker_readiness.cpp
@@ -26,7 +26,7 @@
   monitor.observe([this](const ReadinessEvent& event) { log_readiness(event); });
   dispatcher_.observe_rejections([this](const core::Call& call) { on_rejected(call); });
   // The file holds the events up to the start; the loop is older than its reading.
-  monitor.confirm_list(loop_.iteration_started());
+  monitor.confirm_configured_list(loop_.iteration_started());
   monitor.set_terms(readiness_terms());
 }
 
--- a/src/hosts/host_readiness.cpp
+++ b/src/hosts/host_readiness.cpp
@@ -86,6 +86,9 @@
   unresponsive_until = now + kUnresponsivePause;
 }
 
+// Discovery may have been away for long already, so that what comes next counts as notified at once.
+void ReadinessRules::confirm_configured_list(Millis at) { confirm_list(at - kMinNotificationDelay); }
+
 bool ReadinessRules::is_list_current(Millis now) const {
   return terms_.list_validity.count() <= 0 || list_age(now) <= terms_.list_validity;
 }
--- a/src/hosts/host_readiness.h
+++ b/src/hosts/host_readiness.h
@@ -71,8 +71,10 @@
   void set_terms(const ReadinessTerms& terms) { terms_ = terms; }
   const ReadinessTerms& terms() const { return terms_; }
 
-  // Everything that was published before `at` is known.
+  // Everything that was published before `at` is known from discovery.
   void confirm_list(Millis at) { list_confirmed_at_ = std::max(list_confirmed_at_, at); }
+  // The same from a configuration.
+  void confirm_configured_list(Millis at);
 
   Millis list_age(Millis now) const { return now - list_confirmed_at_; }
   // Whether the list alone is relied on.
--- a/src/hosts/readiness_monitor.h
+++ b/src/hosts/readiness_monitor.h
@@ -36,8 +36,9 @@
   void observe(EventHandler on_event) { on_event_ = std::move(on_event); }
 
   void set_terms(const ReadinessTerms& terms);
-  // Everything that was published before `at` is known.
+  // Everything that was published before `at` is known, from discovery or from the configuration.
   void confirm_list(Millis at);
+  void confirm_configured_list(Millis at) { rules_.confirm_configured_list(at); }
   Millis list_age() const { return rules_.list_age(services_.loop.now()); }
   bool is_list_current() const { return rules_.is_list_current(services_.loop.now()); }
 
--- a/tests/hosts/host_readiness_test.cpp
+++ b/tests/hosts/host_readiness_test.cpp
@@ -39,6 +39,15 @@
   CHECK(rules.is_list_ageing(kConfirmed + Millis(1901)));
 }
 
+TEST_CASE("a list from the configuration is relied on for the grace alone: discovery may be away for long") {
+  ReadinessRules rules = rules_with(true);
+  const Millis started = kConfirmed + Millis(60000);
+  rules.confirm_configured_list(started);
+  CHECK(readiness(rules, HostReadiness(), started + Millis(1800)) == Readiness::confirmed);
+  CHECK(readiness(rules, HostReadiness(), started + Millis(1801)) == Readiness::unconfirmed);
+  CHECK_FALSE(rules.is_same_process(HostReadiness(), started + Millis(1801)));
+}
+
 TEST_CASE("settings without a grace set no limit on the list's age") {
   core::Settings s = settings();
   s.endpoint_list.drain_grace = Millis(0);
--- a/tests/outage/outage_moments_test.cpp
+++ b/tests/outage/outage_moments_test.cpp
@@ -68,6 +68,26 @@
   check_rules(rig, strict_rules());
 }
 
+// Found by seed 109: it relied on the list of its configuration for as long as on one that discovery
+// confirms.
+TEST_CASE("hosts that drain after an invoker has started in an outage get nothing past the grace") {
+  OutageRig rig(short_grace());
+  for (auto& invoker : rig.invokers)
+    invoker.sends_calls = false;  // no refusal tells of the drain
+  rig.begin_outage(OutageForm::refused);
+  rig.run_for(Millis(2500));
+  rig.start_all();
+  rig.run_for(Millis(300));
+  rig.drain({0, 1, 2, 3, 4});
+  rig.run_for(Millis(1200));
+  for (auto& invoker : rig.invokers)
+    invoker.sends_calls = true;
+  rig.run_for(Millis(2000));
+  rig.settle();
+  CHECK(calls_served_by(rig.history, "h5", 0, rig.now()) > 0);
+  check_rules(rig, strict_rules());
+}
+
 TEST_CASE("a host that drained and came back while nobody could say so gets nothing until the list is back") {
   OutageRig rig(short_grace());
   rig.start_all();
--- a/tests/outage/soak.h
+++ b/tests/outage/soak.h
@@ -46,6 +46,8 @@
   void step();
   void begin_outage();
   bool take_host(std::size_t& host);
+  // The host leaves after the first span, and is back after the second one.
+  void leave_and_return(std::size_t host, double leaves_after, double is_away_for);
   void drain_hosts();
   void kill_host();
   void hang_host();
