Postmortem of the drains in an outage of discovery; one place removes unsent requests

Change: removal of unsent attempts and queries stands once in HostConnection; the health check is send_readiness_check.

--- a/src/hosts/host_connection.cpp
+++ b/src/hosts/host_connection.cpp
@@ -107,7 +107,7 @@
   send_query(tag, Query::Kind::probe, std::move(request), 0);
 }
 
-void HostConnection::check_readiness() {
+void HostConnection::send_readiness_check() {
   const bool is_asked = std::any_of(queries_.begin(), queries_.end(), [](const auto& entry) {
     return entry.second.kind == Query::Kind::readiness;
   });
--- a/src/hosts/host_connection.h
+++ b/src/hosts/host_connection.h
@@ -48,7 +48,7 @@
   void load_copies(std::uint64_t function, int copies);
   void probe();
   // Asks the host whether it takes new work, unless it has just been asked.
-  void check_readiness();
+  void send_readiness_check();
   void unload(std::uint64_t function);
   // Withdraws all requests that are not written.
   void abort_pending_writes();
@@ -74,6 +74,9 @@
   WriteDecision check_attempt_before_write(const PendingWrite& pending);
   WriteDecision check_readiness_before_write();
   void withhold_write(const PendingWrite& pending);
+  // Removes what is in flight and was never written.
+  core::Attempt remove_attempt(const std::string& ref);
+  std::optional<Query> remove_query(const std::string& tag);
   void write_pending(const PendingWrite& pending);
   void discard_write(const PendingWrite& pending);
   void discard_query(const std::string& tag);
--- a/src/hosts/host_connection_timers.cpp
+++ b/src/hosts/host_connection_timers.cpp
@@ -40,7 +40,7 @@
 // While no new connection can be made, an open one is kept for as long as its host surely keeps it.
 void HostConnection::on_idle_timeout() {
   if (!retired_ && services_.listener.keeps_when_idle(*this))
-    return check_readiness();  // its answer starts the idle time anew
+    return send_readiness_check();  // its answer starts the idle time anew
   const Millis next = loop().now() + kIdleRecheckInterval;
   if (!services_.in_local_trouble() || retired_ || next > idle_deadline_)
     return close_later();
--- a/src/hosts/host_connection_write.cpp
+++ b/src/hosts/host_connection_write.cpp
@@ -79,7 +79,7 @@
     case Readiness::confirmed:
       return WriteDecision::write;
     case Readiness::unconfirmed:
-      check_readiness();
+      send_readiness_check();
       return WriteDecision::wait;
     case Readiness::withheld:
       break;
@@ -125,10 +125,7 @@
 void HostConnection::discard_write(const PendingWrite& pending) {
   services_.counters.add(metrics::kHostsWithdrawn);
   if (pending.kind == PendingWrite::Kind::attempt) {
-    const auto found = attempts_.find(pending.id);
-    const core::Attempt attempt = found->second.attempt;
-    attempts_.erase(found);
-    services_.listener.on_attempt_not_sent(attempt);
+    services_.listener.on_attempt_not_sent(remove_attempt(pending.id));
   } else {
     discard_query(pending.id);
   }
@@ -140,29 +137,37 @@
       services_.listener.readiness(*this).reason.value_or(WithheldReason::list_too_old);
   services_.counters.add(metrics::kHostsWithheld, name_of(reason));
   if (pending.kind == PendingWrite::Kind::attempt) {
-    const auto found = attempts_.find(pending.id);
-    const core::Attempt attempt = found->second.attempt;
-    attempts_.erase(found);
-    services_.listener.on_attempt_withheld(attempt, reason);
-  } else if (const auto found = queries_.find(pending.id); found != queries_.end()) {
-    const Query query = found->second;
-    loop().cancel(query.timeout_timer);
-    queries_.erase(found);
-    services_.listener.on_load_withheld(host_, query.function, reason);
+    services_.listener.on_attempt_withheld(remove_attempt(pending.id), reason);
+  } else if (const auto query = remove_query(pending.id)) {
+    services_.listener.on_load_withheld(host_, query->function, reason);
   }
   arm_idle_timer();
 }
 
-void HostConnection::discard_query(const std::string& tag) {
+core::Attempt HostConnection::remove_attempt(const std::string& ref) {
+  const auto found = attempts_.find(ref);
+  const core::Attempt attempt = found->second.attempt;
+  attempts_.erase(found);
+  return attempt;
+}
+
+std::optional<Query> HostConnection::remove_query(const std::string& tag) {
   const auto found = queries_.find(tag);
   if (found == queries_.end())
-    return;
+    return std::nullopt;
   const Query query = found->second;
   loop().cancel(query.timeout_timer);
   queries_.erase(found);
-  switch (query.kind) {
+  return query;
+}
+
+void HostConnection::discard_query(const std::string& tag) {
+  const auto query = remove_query(tag);
+  if (!query)
+    return;
+  switch (query->kind) {
     case Query::Kind::load:
-      return services_.listener.on_load_not_sent(host_, query.function);
+      return services_.listener.on_load_not_sent(host_, query->function);
     case Query::Kind::probe:
       return services_.listener.on_probe_not_sent(host_);
     case Query::Kind::liveness:
--- a/src/hosts/readiness_monitor.cpp
+++ b/src/hosts/readiness_monitor.cpp
@@ -188,7 +188,7 @@
     host.readiness().checked_at = now;
     HostConnection* open = host.find_open_connection();
     if (open != nullptr) {
-      open->check_readiness();
+      open->send_readiness_check();
     } else if (rules_.is_list_current(now)) {
       open_connection(host);  // it is asked at the next step but some
     }
--- a/tests/outage/soak_test.cpp
+++ b/tests/outage/soak_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr Millis kDuration{25000};
 // Faults that leave no host are not drawn, but calls at a host that dies or hangs fail.
-constexpr double kLeastServed = 0.75;
+constexpr double kMinServedShare = 0.75;
 
 void check_seed(std::uint64_t seed) {
   Soak soak(seed);
@@ -19,7 +19,7 @@
     steps += step + "\n";
   INFO("seed " << seed << "\n" << steps);
   CHECK(violations(soak.rig.history, soak.rules) == std::vector<std::string>());
-  CHECK(served_share(soak.rig.history, 0, kNever) > kLeastServed);
+  CHECK(served_share(soak.rig.history, 0, kNever) > kMinServedShare);
   CHECK(soak.served_at_the_end > 0.97);
   for (const auto& invoker : soak.rig.invokers)
     CHECK(invoker.process->status() == -1);
--- a/tests/outage/stand_in_discovery.h
+++ b/tests/outage/stand_in_discovery.h
@@ -96,7 +96,8 @@
         case OutageForm::trickle:
           return;
         case OutageForm::gap:
-          return write_number(service_.visible() + 1);
+          // More than any reader knows, also one that a configuration has told more than this stream.
+          return write_number(service_.last() + 1);
         case OutageForm::garbage:
           return write("{]\n");
         default:
