Stand-ins: a late discovery is readable in the end; the change log sends heartbeats

Change: an outage that answers late is marked in the history, and what is published in it counts as readable; drains in it still count by the strict clock. ChangeLog sends a heartbeat on each subscription and each second. No source of the programs changes here.

--- a/tests/outage/checker.cpp
+++ b/tests/outage/checker.cpp
@@ -37,7 +37,7 @@
 // An invoker that does not know of the return may still be bound by the drain that it counts as notified of.
 double readable_at(const History& history, const PhaseChange& change) {
   const Outage* outage = outage_at(history, change.at);
-  if (outage == nullptr)
+  if (outage == nullptr || outage->answers_late)
     return change.at;
   double readable = outage->to;
   for (const double start : history.starts) {
--- a/tests/outage/history.h
+++ b/tests/outage/history.h
@@ -46,6 +46,7 @@
 struct Outage {
   double from = 0;
   double to = kNever;
+  bool answers_late = false;  // readers get what was published in the end, some seconds late
 };
 
 struct History {
--- a/tests/outage/outage_rig.cpp
+++ b/tests/outage/outage_rig.cpp
@@ -160,7 +160,7 @@
 }
 
 void OutageRig::begin_outage(OutageForm form) {
-  history.outages.push_back({now()});
+  history.outages.push_back({now(), kNever, form == OutageForm::slow_answer});
   discovery.fail(form);
 }
 
--- a/tests/support/service.h
+++ b/tests/support/service.h
@@ -48,7 +48,15 @@
 
 class ChangeLog {
  public:
-  explicit ChangeLog(InvokerFixture& world) : server(world.loop, world.pool, *this) {}
+  // The protocol's: a line with the last number alone each second. Without it the list counts as unconfirmed.
+  static constexpr Millis kHeartbeat{1000};
+
+  explicit ChangeLog(InvokerFixture& world) : server(world.loop, world.pool, *this), loop_(world.loop) {
+    schedule_heartbeat();
+  }
+  ~ChangeLog() { loop_.cancel(heartbeat_timer_); }
+  ChangeLog(const ChangeLog&) = delete;
+  ChangeLog& operator=(const ChangeLog&) = delete;
   class Peer final : public net::BufferedConnection {
    public:
     Peer(ChangeLog& log, net::EventLoop& loop, net::BufferPool& pool, net::Socket socket)
@@ -60,6 +68,7 @@
       ++log_.asked;
       for (const auto& line : log_.lines)
         write(line);  // those it has it passes over
+      write(log_.heartbeat());
     }
     void on_closed() override { log_.server.gone(*this); }
   };
@@ -81,6 +90,19 @@
   int asked = 0;
   std::vector<std::string> lines;
   Server<Peer, ChangeLog> server;
+
+ private:
+  net::EventLoop& loop_;
+  net::EventLoop::TimerId heartbeat_timer_{};
+
+  std::string heartbeat() const { return R"({"seq":)" + std::to_string(lines.size()) + "}\n"; }
+  void schedule_heartbeat() {
+    heartbeat_timer_ = loop_.schedule_at(loop_.now() + kHeartbeat, [this] {
+      for (const auto& peer : server.peers)
+        peer->write(heartbeat());
+      schedule_heartbeat();
+    });
+  }
 };
 
 // A client that asks again on a new connection when its old one has ended without an answer, as the
