A rejection proves nothing about a later publication that another consumer may have run

Cause: FrontEnd::handle_by_cache gave any redelivery the remembered answer of its message id, and decide_by_record did the same for stored rejections and cleared attempts. A rejection speaks only of what this process received, and invites the client to publish the message again. Change: idempotency::decide_after_rejection says what a rejection proves, for memory and store alike; amqp/publication.h says which deliveries are of one publication. Others are failed, and that replaces the rejection, so that no later delivery runs either. It works because a redelivery runs or is rejected only where this process saw the publication itself, or is the sole consumer. Ruled out: the check of redelivered calls without a store (never asked), the store (same with and without).

--- a/src/amqp/delivery_admission.cpp
+++ b/src/amqp/delivery_admission.cpp
@@ -5,6 +5,7 @@
 namespace lotusyard::amqp {
 
 using core::CallStatus;
+using idempotency::Decision;
 using policy::Semantics;
 
 RejectionResult result_of(Rejection rejection) {
@@ -23,16 +24,16 @@
   return {CallStatus::failed, metrics::kAmqpBadCall};
 }
 
-bool is_safe_to_retry(const CachedDelivery& cached) {
-  switch (cached.answer->status) {
-    case CallStatus::rejected:
-      return true;
-    case CallStatus::failed:
-      return !cached.non_idempotent;
-    case CallStatus::succeeded:
-      break;
-  }
-  return false;
+Decision decide_by_answer(const CachedDelivery& cached, const idempotency::DeliveryFacts& delivery,
+                          bool sole_consumer) {
+  const CallStatus status = cached.answer->status;
+  if (status == CallStatus::succeeded)
+    return Decision::answer;
+  if (!cached.non_idempotent)
+    return delivery.redelivered ? Decision::answer : Decision::run;
+  if (status == CallStatus::rejected)
+    return idempotency::decide_after_rejection(delivery, sole_consumer);
+  return Decision::answer;
 }
 
 bool may_have_run(Semantics semantics, const std::optional<core::Millis>& max_age) {
--- a/src/amqp/delivery_admission.h
+++ b/src/amqp/delivery_admission.h
@@ -5,6 +5,7 @@
 
 #include "amqp/delivery_cache.h"
 #include "core/types.h"
+#include "idempotency/result_ledger.h"
 #include "metrics/counter.h"
 
 namespace lotusyard::amqp {
@@ -25,8 +26,9 @@
 };
 RejectionResult result_of(Rejection rejection);
 
-// Whether a message that was sent again may be treated as a retry of its call, which has ended.
-bool is_safe_to_retry(const CachedDelivery& cached);
+// Decides on a delivery by the cached answer of its call, which has ended.
+idempotency::Decision decide_by_answer(const CachedDelivery& cached,
+                                       const idempotency::DeliveryFacts& delivery, bool sole_consumer);
 
 // Whether a redelivered call may have run in another process, or in this one before a restart or before it
 // was evicted from the cache. `max_age` is the greatest age that the message can have, if it is known.
--- a/src/amqp/delivery_cache.h
+++ b/src/amqp/delivery_cache.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "amqp/reply_address.h"
+#include "amqp/publication.h"
 #include "core/types.h"
 
 namespace lotusyard::amqp {
@@ -17,14 +17,28 @@
 // A delivery that is answered and acknowledged once its call has ended.
 struct WaitingDelivery {
   std::uint64_t tag = 0;  // on the current channel
-  ReplyAddress address;
+  Publication publication;
+};
+
+// A publication that this process has received, and what is known of its answer.
+struct ReceivedPublication {
+  Publication publication;
+  bool confirmed = false;     // the broker holds the answer
+  bool acknowledged = false;  // on the channel that is open: the broker does not deliver it again there
+  bool superseded = false;    // it was rejected, and its client has published the message again
 };
 
 struct CachedDelivery {
   bool non_idempotent = false;
   std::shared_ptr<const core::Answer> answer;  // null while the call runs
   std::vector<WaitingDelivery> waiters;        // while it runs
-  std::vector<ReplyAddress> confirmed;         // the broker holds the answer for these
+  // A delivery that joined the call while it ran may have run elsewhere.
+  bool may_have_run_elsewhere = false;
+  std::vector<ReceivedPublication> publications;  // the newest ones
+
+  ReceivedPublication* find(const Publication& publication);
+  // Adds the publication unless it is there already.
+  ReceivedPublication& add(const Publication& publication);
 };
 
 // Bounded: the oldest answers are evicted first, running calls never.
@@ -35,12 +49,13 @@
 
   // Returns null if the call is not in the cache. The pointer is valid until the next change of the cache.
   CachedDelivery* find(const std::string& call_key);
-  // Adds a call that has started; replaces the entry of an earlier one with the same key.
-  CachedDelivery& insert(const std::string& call_key, bool non_idempotent);
+  // Adds a call that has started; replaces the entry of an earlier one with the same key. If that one was
+  // rejected, its publications stay known as superseded by this one.
+  CachedDelivery& insert(const std::string& call_key, bool non_idempotent, const Publication& publication);
   // Sets the answer of a running call; ignored if the call is not in the cache or has one.
   void complete(const std::string& call_key, core::Answer&& answer);
-  // The channel has closed: the broker delivers all unacknowledged messages again, with other tags.
-  void clear_waiters();
+  // The broker delivers all unacknowledged messages again, with other tags. An acknowledgement may be lost.
+  void on_channel_closed();
   std::size_t size() const { return entries_.size(); }
   std::size_t running_count() const { return entries_.size() - completed_.size(); }
 
@@ -51,6 +66,7 @@
   };
 
   bool is_over_limit() const;
+  std::vector<ReceivedPublication> take_rejected_publications(const std::string& call_key);
   void erase(const std::string& call_key);
 
   const std::size_t max_answers_;
--- a/src/amqp/delivery_parser.cpp
+++ b/src/amqp/delivery_parser.cpp
@@ -86,14 +86,16 @@
 
 }  // namespace
 
-std::optional<ReplyAddress> reply_address(const Properties& properties) {
+std::optional<Publication> publication_of(const Properties& properties) {
   if (properties.reply_to.empty())
     return std::nullopt;
   const std::string& correlation_id =
       properties.correlation_id.empty() ? properties.message_id : properties.correlation_id;
   if (correlation_id.empty())
     return std::nullopt;
-  return ReplyAddress{properties.reply_to, correlation_id};
+  return Publication{{properties.reply_to, correlation_id},
+                     properties.timestamp,
+                     string_header(properties.headers, kTimeoutHeader)};
 }
 
 std::string call_key(const Properties& properties) {
--- a/src/amqp/delivery_parser.h
+++ b/src/amqp/delivery_parser.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "amqp/delivery.h"
-#include "amqp/reply_address.h"
+#include "amqp/publication.h"
 #include "core/types.h"
 
 namespace lotusyard::amqp {
@@ -22,9 +22,9 @@
   invalid_lanes
 };
 
-// Returns where the answer to a message goes, or nothing if the message does not name it. Without a
-// correlation id its message id is used.
-std::optional<ReplyAddress> reply_address(const Properties& properties);
+// Returns the publication that a delivery is of, or nothing if its message does not name where the answer
+// goes. Without a correlation id the message id is used.
+std::optional<Publication> publication_of(const Properties& properties);
 
 // The key that identifies a message's call. Every delivery of a message has the same key: its message id
 // or, if it has none, its reply address.
--- a/src/amqp/front_end.cpp
+++ b/src/amqp/front_end.cpp
@@ -12,6 +12,7 @@
 namespace lotusyard::amqp {
 
 using core::Millis;
+using idempotency::Decision;
 using idempotency::ResultStage;
 using policy::Semantics;
 
@@ -39,20 +40,21 @@
 void FrontEnd::on_channel_closed(const CloseReason& reason) {
   counters_.add(metrics::kAmqpDown);
   publisher_.on_channel_closed();
-  delivery_cache_.clear_waiters();
+  delivery_cache_.on_channel_closed();
   connection_.reconnect_later(reason);
 }
 
 void FrontEnd::on_confirmation(const Confirmation& confirmation) { publisher_.on_confirmation(confirmation); }
 
 void FrontEnd::on_delivery(Delivery&& delivery) {
-  const auto address = reply_address(delivery.properties);
-  if (!address) {
+  const auto publication = publication_of(delivery.properties);
+  if (!publication) {
     counters_.add(metrics::kAmqpUnanswerable);
     connection_.channel()->reject(delivery.tag);
     return;
   }
-  const PendingDelivery pending{call_key(delivery.properties), delivery.tag, *address, delivery.redelivered};
+  const PendingDelivery pending{call_key(delivery.properties), delivery.tag, *publication,
+                                delivery.redelivered};
   if (handle_by_cache(pending))
     return;
   auto parsed = parse_call(delivery, settings_, loop_.earliest_arrival());
@@ -66,18 +68,39 @@
   CachedDelivery* const cached = delivery_cache_.find(pending.call_key);
   if (cached == nullptr)
     return false;
+  const ReceivedPublication* const known = cached->find(pending.publication);
+  if (pending.redelivered && known != nullptr && known->superseded) {
+    connection_.channel()->acknowledge(pending.tag);  // its client has the answer: it has published again
+    return true;
+  }
   if (!cached->answer) {
-    counters_.add(metrics::kAmqpJoined);
-    cached->waiters.push_back({pending.tag, pending.address});
+    join_running_call(*cached, pending);
     return true;
   }
-  if (!pending.redelivered && is_safe_to_retry(*cached))
+  idempotency::DeliveryFacts facts;
+  facts.redelivered = pending.redelivered;
+  facts.same_publication = known != nullptr && !known->acknowledged;
+  const Decision decision = decide_by_answer(*cached, facts, limits_.sole_consumer);
+  if (decision == Decision::run)
     return false;
+  if (decision == Decision::fail_may_have_run) {
+    fail_may_have_run(pending);
+    return true;
+  }
   counters_.add(metrics::kAmqpRemembered);
   publisher_.reply(pending);
   return true;
 }
 
+void FrontEnd::join_running_call(CachedDelivery& cached, const PendingDelivery& pending) {
+  counters_.add(metrics::kAmqpJoined);
+  const bool is_known = cached.find(pending.publication) != nullptr;
+  if (pending.redelivered && !is_known && cached.non_idempotent && !limits_.sole_consumer)
+    cached.may_have_run_elsewhere = true;
+  cached.add(pending.publication);
+  cached.waiters.push_back({pending.tag, pending.publication});
+}
+
 void FrontEnd::handle_call(core::Call&& call, Delivery&& delivery, const PendingDelivery& pending) {
   const policy::ClassSettings& call_class = *core::class_named(settings_, call.class_name);
   const bool non_idempotent = call_class.semantics == Semantics::non_idempotent;
@@ -111,24 +134,24 @@
 }
 
 bool FrontEnd::answer_by_record(const PendingDelivery& pending, const Delivery& delivery) {
-  RecordedDecision recorded = recorder_.decide(pending.call_key, delivery);
+  RecordedDecision recorded = recorder_.decide(pending.call_key, delivery, pending.publication.address);
   switch (recorded.decision) {
-    case idempotency::Decision::run:
+    case Decision::run:
       return false;
-    case idempotency::Decision::fail_may_have_run:
-      reject(pending, Rejection::may_have_run, true);
+    case Decision::fail_may_have_run:
+      fail_may_have_run(pending);
       return true;
-    case idempotency::Decision::refuse_unrecorded:
+    case Decision::refuse_unrecorded:
       reject(pending, Rejection::unrecorded, true);
       return true;
-    case idempotency::Decision::answer:
+    case Decision::answer:
       break;
   }
   counters_.add(metrics::kAmqpAnsweredFromStore);
   idempotency::ResultRecord& record = *recorded.record;
-  CachedDelivery& cached = delivery_cache_.insert(pending.call_key, true);
-  if (record.stage == ResultStage::confirmed && record.address == pending.address.text())
-    cached.confirmed.push_back(pending.address);
+  CachedDelivery& cached = delivery_cache_.insert(pending.call_key, true, pending.publication);
+  cached.find(pending.publication)->confirmed =
+      record.stage == ResultStage::confirmed && record.address == pending.publication.address.text();
   delivery_cache_.complete(pending.call_key, std::move(record.answer));
   publisher_.reply(pending);
   return true;
@@ -138,7 +161,8 @@
   // Hosts require a reference of 16 hexadecimal digits that no other open call has; a message id may be
   // anything.
   call.ref = net::hex16(++last_ref_);
-  delivery_cache_.insert(pending.call_key, non_idempotent).waiters.push_back({pending.tag, pending.address});
+  CachedDelivery& cached = delivery_cache_.insert(pending.call_key, non_idempotent, pending.publication);
+  cached.waiters.push_back({pending.tag, pending.publication});
   const core::CallId id = dispatcher_.allocate_call_id();
   open_calls_[id] = {pending.call_key, non_idempotent, false};
   const auto rejection = dispatcher_.admit(id, std::move(call), *this);
@@ -149,11 +173,16 @@
 void FrontEnd::reject(const PendingDelivery& pending, Rejection rejection, bool non_idempotent) {
   const RejectionResult result = result_of(rejection);
   counters_.add(result.counter);
-  delivery_cache_.insert(pending.call_key, non_idempotent);
+  delivery_cache_.insert(pending.call_key, non_idempotent, pending.publication);
   delivery_cache_.complete(pending.call_key, {result.status, Millis(0), {}});
   publisher_.reply(pending);
 }
 
+void FrontEnd::fail_may_have_run(const PendingDelivery& pending) {
+  recorder_.replace_rejection(pending.call_key, core::Answer());
+  reject(pending, Rejection::may_have_run, true);
+}
+
 FrontEnd::OpenCall* FrontEnd::find_open_call(core::CallId call) {
   const auto found = open_calls_.find(call);
   return found == open_calls_.end() ? nullptr : &found->second;
@@ -195,10 +224,12 @@
     return;
   const OpenCall open = std::move(found->second);
   open_calls_.erase(found);
+  CachedDelivery* const cached = delivery_cache_.find(open.call_key);
+  if (cached != nullptr && cached->may_have_run_elsewhere && answer.status == core::CallStatus::rejected)
+    answer = core::Answer();
   // Recorded before it is published: an answer that the broker holds must be in the store too.
   if (open.recorded)
     recorder_.record(open.call_key, ResultStage::answered, answer);
-  CachedDelivery* const cached = delivery_cache_.find(open.call_key);
   if (cached == nullptr)
     return;
   const auto waiters = std::exchange(cached->waiters, {});
@@ -206,7 +237,7 @@
   if (waiters.empty())
     counters_.add(metrics::kAmqpAnswersKept);  // until the message is delivered again
   for (const WaitingDelivery& waiter : waiters)
-    publisher_.reply({open.call_key, waiter.tag, waiter.address, true});
+    publisher_.reply({open.call_key, waiter.tag, waiter.publication, true});
 }
 
 }  // namespace lotusyard::amqp
--- a/src/amqp/front_end.h
+++ b/src/amqp/front_end.h
@@ -63,12 +63,15 @@
 
   // Returns true if the cache has the call, so that the delivery waits for its answer or has been answered.
   bool handle_by_cache(const PendingDelivery& pending);
+  void join_running_call(CachedDelivery& cached, const PendingDelivery& pending);
   // Returns true if the delivery was answered by the durable record of its call, so that it must not run.
   bool answer_by_record(const PendingDelivery& pending, const Delivery& delivery);
   void handle_call(core::Call&& call, Delivery&& delivery, const PendingDelivery& pending);
   bool limit_timeout(const Properties& properties, core::Call& call);
   void begin_call(core::Call&& call, const PendingDelivery& pending, bool non_idempotent);
   void reject(const PendingDelivery& pending, Rejection rejection, bool non_idempotent);
+  // Fails a non-idempotent call that may have run before this delivery.
+  void fail_may_have_run(const PendingDelivery& pending);
   OpenCall* find_open_call(core::CallId call);
 
   net::EventLoop& loop_;
--- a/src/amqp/reply_publisher.cpp
+++ b/src/amqp/reply_publisher.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr core::Millis kResendDelay{200};
-// Addresses stored with an answer; messages are seldom sent again with yet another one.
-constexpr std::size_t kMaxConfirmedAddresses = 8;
 constexpr std::uint8_t kPersistent = 2;
 
 // Headers of answers, named by the platform's page on triggers.
@@ -49,15 +47,18 @@
   return properties;
 }
 
-bool contains(const std::vector<ReplyAddress>& addresses, const ReplyAddress& address) {
-  return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+// Whether the broker holds the answer to a publication, so that only its acknowledgement was lost. After a
+// rejection a delivery may be of a later publication with the same properties: it is, if this one was
+// acknowledged on the channel that is open.
+bool lacks_only_acknowledgement(const ReceivedPublication& received, core::CallStatus status) {
+  return received.confirmed && !(received.acknowledged && status == core::CallStatus::rejected);
 }
 
 }  // namespace
 
-ReplyPublisher::Reply* ReplyPublisher::find(const std::string& call_key, const ReplyAddress& address) {
+ReplyPublisher::Reply* ReplyPublisher::find(const std::string& call_key, const Publication& publication) {
   const auto matches = [&](const Reply& reply) {
-    return reply.call_key == call_key && reply.address == address;
+    return reply.call_key == call_key && reply.publication == publication;
   };
   for (auto& [number, reply] : unconfirmed_) {
     if (matches(reply))
@@ -68,15 +69,15 @@
 }
 
 void ReplyPublisher::reply(const PendingDelivery& delivery) {
-  if (Reply* pending = find(delivery.call_key, delivery.address)) {
+  if (Reply* pending = find(delivery.call_key, delivery.publication)) {
     pending->delivery_tags.push_back(delivery.tag);
     return;
   }
-  const CachedDelivery& cached = *cache_.find(delivery.call_key);
-  // The broker holds the answer already: only the acknowledgement of the delivery was lost.
-  if (delivery.redelivered && contains(cached.confirmed, delivery.address))
+  CachedDelivery& cached = *cache_.find(delivery.call_key);
+  const ReceivedPublication* known = cached.find(delivery.publication);
+  if (delivery.redelivered && known != nullptr && lacks_only_acknowledgement(*known, cached.answer->status))
     return connection_.channel()->acknowledge(delivery.tag);
-  publish({delivery.call_key, delivery.address, cached.answer, {delivery.tag}});
+  publish({delivery.call_key, delivery.publication, cached.answer, {delivery.tag}});
 }
 
 void ReplyPublisher::publish(Reply&& reply) {
@@ -85,8 +86,9 @@
     unsent_.push_back(std::move(reply));
     return;
   }
-  const Properties properties = reply_properties(reply.call_key, reply.address, *reply.answer);
-  const std::uint64_t number = channel.publish(reply.address.reply_to, properties, reply.answer->body);
+  const Properties properties = reply_properties(reply.call_key, reply.publication.address, *reply.answer);
+  const std::uint64_t number =
+      channel.publish(reply.publication.address.reply_to, properties, reply.answer->body);
   unconfirmed_.emplace(number, std::move(reply));
 }
 
@@ -123,11 +125,11 @@
 
 void ReplyPublisher::on_accepted(const Reply& reply) {
   if (CachedDelivery* cached = cache_.find(reply.call_key)) {
-    if (cached->confirmed.size() >= kMaxConfirmedAddresses)
-      cached->confirmed.erase(cached->confirmed.begin());
-    cached->confirmed.push_back(reply.address);
+    ReceivedPublication& received = cached->add(reply.publication);
+    received.confirmed = true;
+    received.acknowledged = true;
     if (cached->non_idempotent)
-      recorder_.record_answer_confirmed(reply.call_key, reply.address);
+      recorder_.record_answer_confirmed(reply.call_key, reply.publication.address);
   }
   for (const std::uint64_t tag : reply.delivery_tags)
     connection_.channel()->acknowledge(tag);
--- a/src/amqp/reply_publisher.h
+++ b/src/amqp/reply_publisher.h
@@ -12,7 +12,7 @@
 #include "amqp/channel.h"
 #include "amqp/connection_supervisor.h"
 #include "amqp/delivery_cache.h"
-#include "amqp/reply_address.h"
+#include "amqp/publication.h"
 #include "amqp/result_recorder.h"
 #include "core/types.h"
 #include "metrics/counters.h"
@@ -24,7 +24,7 @@
 struct PendingDelivery {
   std::string call_key;
   std::uint64_t tag = 0;
-  ReplyAddress address;
+  Publication publication;
   bool redelivered = false;
 };
 
@@ -38,7 +38,7 @@
   ReplyPublisher(const ReplyPublisher&) = delete;
   ReplyPublisher& operator=(const ReplyPublisher&) = delete;
 
-  // Publishes the answer that the cache holds, once for each address. To be called with an answer and a
+  // Publishes the answer that the cache holds, once for each publication. To be called with an answer and a
   // channel only.
   void reply(const PendingDelivery& delivery);
   void on_confirmation(const Confirmation& confirmation);
@@ -52,12 +52,12 @@
  private:
   struct Reply {
     std::string call_key;
-    ReplyAddress address;
+    Publication publication;
     std::shared_ptr<const core::Answer> answer;
     std::vector<std::uint64_t> delivery_tags;  // acknowledged once the reply is confirmed
   };
 
-  Reply* find(const std::string& call_key, const ReplyAddress& address);
+  Reply* find(const std::string& call_key, const Publication& publication);
   void publish(Reply&& reply);
   std::vector<Reply> take_confirmed(const Confirmation& confirmation);
   void resend_later(Reply&& reply);
--- a/src/amqp/result_recorder.cpp
+++ b/src/amqp/result_recorder.cpp
@@ -30,14 +30,18 @@
   prune_timer_ = loop_.schedule_at(loop_.now() + kPruneInterval, [this] { prune(); });
 }
 
-RecordedDecision ResultRecorder::decide(const std::string& call_key, const Delivery& delivery) {
+RecordedDecision ResultRecorder::decide(const std::string& call_key, const Delivery& delivery,
+                                        const ReplyAddress& address) {
   RecordedDecision out;
   idempotency::StoreTrust trust;
   trust.healthy = store_->find(call_key, out.record);
   trust.sole_consumer = sole_consumer_;
   trust.complete_from = store_->complete_from();
   trust.now = loop_.now();
-  out.decision = idempotency::decide(out.record, facts_of(delivery), trust);
+  idempotency::DeliveryFacts facts = facts_of(delivery);
+  facts.same_publication =
+      out.record && out.record->stage == ResultStage::confirmed && out.record->address == address.text();
+  out.decision = idempotency::decide(out.record, facts, trust);
   return out;
 }
 
@@ -49,6 +53,14 @@
   return store_->put(call_key, record);
 }
 
+void ResultRecorder::replace_rejection(const std::string& call_key, const core::Answer& answer) {
+  std::optional<idempotency::ResultRecord> known;
+  if (!is_enabled() || !store_->find(call_key, known) || !known || !idempotency::proves_not_run(*known))
+    return;
+  // If this is not stored, a redelivery is decided in the same way again.
+  record(call_key, ResultStage::answered, answer);
+}
+
 void ResultRecorder::record_answer_confirmed(const std::string& call_key, const ReplyAddress& address) {
   if (!is_enabled())
     return;
--- a/src/amqp/result_recorder.h
+++ b/src/amqp/result_recorder.h
@@ -30,9 +30,12 @@
   ResultRecorder& operator=(const ResultRecorder&) = delete;
 
   bool is_enabled() const { return store_ != nullptr; }
-  RecordedDecision decide(const std::string& call_key, const Delivery& delivery);
+  RecordedDecision decide(const std::string& call_key, const Delivery& delivery, const ReplyAddress& address);
   // Returns false if the record could not be stored.
   bool record(const std::string& call_key, idempotency::ResultStage stage, const core::Answer& answer);
+  // The call may have run at another consumer since it was rejected here: a record of that proves nothing
+  // now, and is replaced by `answer`.
+  void replace_rejection(const std::string& call_key, const core::Answer& answer);
   // The broker holds the call's answer for the address. Ignored if the store has no answer of the call.
   void record_answer_confirmed(const std::string& call_key, const ReplyAddress& address);
 
--- a/src/idempotency/result_ledger.cpp
+++ b/src/idempotency/result_ledger.cpp
@@ -5,18 +5,22 @@
 namespace lotusyard::idempotency {
 namespace {
 
-Decision decide_by_record(const ResultRecord& record, const DeliveryFacts& delivery) {
+// Its rejection may have been published without a record of it, so that the message was published again.
+Decision decide_after_cleared_attempt(const DeliveryFacts& delivery, bool sole_consumer) {
+  return delivery.redelivered && !sole_consumer ? Decision::fail_may_have_run : Decision::run;
+}
+
+Decision decide_by_record(const ResultRecord& record, const DeliveryFacts& delivery, bool sole_consumer) {
   switch (record.stage) {
     case ResultStage::sent:
       return Decision::fail_may_have_run;
     case ResultStage::cleared:
-      return Decision::run;
+      return decide_after_cleared_attempt(delivery, sole_consumer);
     case ResultStage::answered:
     case ResultStage::confirmed:
       break;
   }
-  // A redelivery gets the recorded answer. A message that was sent again after a rejection is a retry.
-  return proves_not_run(record) && !delivery.redelivered ? Decision::run : Decision::answer;
+  return proves_not_run(record) ? decide_after_rejection(delivery, sole_consumer) : Decision::answer;
 }
 
 // Whether the store would have a record of the call if it had been sent. A publication time in the future
@@ -46,13 +50,19 @@
   return record.stage != ResultStage::sent && record.answer.status == core::CallStatus::rejected;
 }
 
+Decision decide_after_rejection(const DeliveryFacts& delivery, bool sole_consumer) {
+  if (!delivery.redelivered)
+    return Decision::run;  // the message was published again after the rejection
+  return sole_consumer || delivery.same_publication ? Decision::answer : Decision::fail_may_have_run;
+}
+
 Decision decide(const std::optional<ResultRecord>& known, const DeliveryFacts& delivery,
                 const StoreTrust& trust) {
   // A store that cannot be read may hold a record of a run.
   if (!trust.healthy)
     return delivery.redelivered ? Decision::fail_may_have_run : Decision::refuse_unrecorded;
   if (known)
-    return decide_by_record(*known, delivery);
+    return decide_by_record(*known, delivery, trust.sole_consumer);
   if (!delivery.redelivered)
     return Decision::run;
   // A call without a record may have been pruned, or have run at another consumer.
--- a/src/idempotency/result_ledger.h
+++ b/src/idempotency/result_ledger.h
@@ -29,6 +29,7 @@
 struct DeliveryFacts {
   bool redelivered = false;
   std::optional<Millis> published;  // publication time by the publisher's clock, if stated
+  bool same_publication = false;    // it is of the publication to which the known answer was given
 };
 
 // What determines whether a call without a record can be assumed not to have run.
@@ -51,6 +52,11 @@
 // The tolerated difference between a publisher's clock and the store's clock.
 constexpr Millis kClockSkew = kClockStep + Millis(60000);
 
+// Decides on a delivery of a call that was rejected without having run. That proves something only of the
+// publications that this process has received. Their client was told that it may publish the message again,
+// and another consumer may have run that publication before it is redelivered to this process.
+Decision decide_after_rejection(const DeliveryFacts& delivery, bool sole_consumer);
+
 // `known` is the record of the delivery's call, if the store has one.
 Decision decide(const std::optional<ResultRecord>& known, const DeliveryFacts& delivery,
                 const StoreTrust& trust);
@@ -59,7 +65,7 @@
 // is a programming error and must not be stored.
 bool may_follow(const std::optional<ResultStage>& from, ResultStage to);
 
-// Whether the record proves that the call has not run.
+// Whether the record proves that the call had not run when the record was written.
 bool proves_not_run(const ResultRecord& record);
 
 // Limits of a store.
