Whether a redelivered call may have run is decided before anything rejects it

Cause: FrontEnd::handle_call rejected an expired message before it asked the record or whether a redelivered call may have run. Evidence: amqp.expired 1, amqp.may_have_run 0 in the test before; with a store the next publication got FAILED from the record. Change: the check comes first; expiry and the limit of open calls come after it. Keyed calls are rejected only while every host recognises the key. A redelivered call whose class is missing is asked for its record, and is remembered as one that may have run. It works because each BUSY is now given behind the one check that knows of runs. On the code before, the new tests fail: BUSY for FAILED (expired, with and without a store; keyed calls out of window or scope), a second run once a dropped class is back (execs 1 for 0), FAILED for a recorded answer. Ruled out: the store (it had the record), the memory of answers (a new process).

--- a/src/amqp/delivery_admission.cpp
+++ b/src/amqp/delivery_admission.cpp
@@ -49,4 +49,15 @@
   return false;
 }
 
+bool is_retry_harmless(const policy::ClassSettings& call_class, const std::optional<core::Millis>& max_age) {
+  if (call_class.semantics != Semantics::idempotent_with_key)
+    return true;
+  // The host that ran it is not known: each host must recognise the key.
+  return call_class.scope == policy::KeyScope::all && max_age && *max_age < call_class.key_window;
+}
+
+bool may_be_non_idempotent(const policy::ClassSettings* call_class) {
+  return call_class == nullptr || call_class->semantics == Semantics::non_idempotent;
+}
+
 }  // namespace lotusyard::amqp
--- a/src/amqp/delivery_admission.h
+++ b/src/amqp/delivery_admission.h
@@ -34,4 +34,12 @@
 // was evicted from the cache. `max_age` is the greatest age that the message can have, if it is known.
 bool may_have_run(policy::Semantics semantics, const std::optional<core::Millis>& max_age);
 
+// Whether the client of a redelivered call that is not run may be told that a retry is harmless. A
+// non-idempotent call must have been proven not to have run.
+bool is_retry_harmless(const policy::ClassSettings& call_class, const std::optional<core::Millis>& max_age);
+
+// Whether a redelivered call may be one that must not run twice, by the class that its message names; null if
+// there is no such class now.
+bool may_be_non_idempotent(const policy::ClassSettings* call_class);
+
 }  // namespace lotusyard::amqp
--- a/src/amqp/delivery_parser.cpp
+++ b/src/amqp/delivery_parser.cpp
@@ -106,6 +106,10 @@
 
 bool is_message_id(const std::string& call_key) { return call_key.front() != kAddressKeySeparator; }
 
+const policy::ClassSettings* named_class(const Delivery& delivery, const core::Settings& settings) {
+  return core::class_named(settings, string_header(delivery.properties.headers, kClassHeader));
+}
+
 std::variant<core::Call, DeliveryError> parse_call(const Delivery& delivery, const core::Settings& settings,
                                                    Millis arrived) {
   const Properties& properties = delivery.properties;
@@ -113,7 +117,7 @@
     return DeliveryError::oversized;
   if (properties.message_id.empty())
     return DeliveryError::no_message_id;
-  const auto* call_class = core::class_named(settings, string_header(properties.headers, kClassHeader));
+  const auto* call_class = named_class(delivery, settings);
   if (call_class == nullptr)
     return DeliveryError::unknown_class;
   const auto function = net::parse_hex16(string_header(properties.headers, kFunctionHeader));
--- a/src/amqp/delivery_parser.h
+++ b/src/amqp/delivery_parser.h
@@ -32,6 +32,9 @@
 // Whether the key is a message id.
 bool is_message_id(const std::string& call_key);
 
+// The class that a message names; null if there is no such class.
+const policy::ClassSettings* named_class(const Delivery& delivery, const core::Settings& settings);
+
 // Parses the message's headers; the body and the reference of the call are left empty. `arrived` is when the
 // delivery arrived; the call's timeout counts from there.
 std::variant<core::Call, DeliveryError> parse_call(const Delivery& delivery, const core::Settings& settings,
--- a/src/amqp/front_end.cpp
+++ b/src/amqp/front_end.cpp
@@ -61,7 +61,7 @@
   if (auto* call = std::get_if<core::Call>(&parsed))
     handle_call(std::move(*call), std::move(delivery), pending);
   else
-    reject(pending, Rejection::malformed, false);
+    handle_malformed(delivery, pending);
 }
 
 bool FrontEnd::handle_by_cache(const PendingDelivery& pending) {
@@ -105,32 +105,30 @@
   const policy::ClassSettings& call_class = *core::class_named(settings_, call.class_name);
   const bool non_idempotent = call_class.semantics == Semantics::non_idempotent;
   const auto max_age = age_at_most(delivery.properties, loop_.wall_time(call_class.key_window));
-  if (limit_timeout(delivery.properties, call))
-    return reject(pending, Rejection::expired, non_idempotent);
+  // Whether the call may have run is decided before anything else could reject it.
   if (non_idempotent && recorder_.is_enabled()) {
     if (answer_by_record(pending, delivery))
       return;
   } else if (delivery.redelivered && may_have_run(call_class.semantics, max_age)) {
     return reject(pending, Rejection::may_have_run, non_idempotent);
   }
+  const bool may_reject = !delivery.redelivered || is_retry_harmless(call_class, max_age);
+  if (limit_timeout(delivery.properties, loop_.wall_time(), loop_.now() - call.arrived, call.timeout))
+    return reject(pending, may_reject ? Rejection::expired : Rejection::may_have_run, non_idempotent);
+  if (open_calls_.size() >= limits_.open_calls)
+    return reject(pending, may_reject ? Rejection::too_many_open : Rejection::may_have_run, non_idempotent);
   if (call_class.semantics == Semantics::idempotent_with_key && delivery.redelivered)
     call.may_have_run_since = call.arrived - *max_age;
-  if (open_calls_.size() >= limits_.open_calls)
-    return reject(pending, Rejection::too_many_open, non_idempotent);
   call.body = std::move(delivery.body);
   begin_call(std::move(call), pending, non_idempotent);
 }
 
-// Ends the call's timeout when the message expires; returns true if it has expired, since nobody waits for
-// the answer then. Uses the clock as it is set now: if it has been set back, every call would seem to have
-// expired by its earlier setting.
-bool FrontEnd::limit_timeout(const Properties& properties, core::Call& call) {
-  const auto remaining = time_left(properties, loop_.wall_time());
-  if (!remaining)
-    return false;
-  const Millis since_arrival = loop_.now() - call.arrived;
-  call.timeout = std::min(call.timeout, *remaining + since_arrival);
-  return call.timeout.count() <= 0;
+// A call whose class is missing may have run while the class was configured.
+void FrontEnd::handle_malformed(const Delivery& delivery, const PendingDelivery& pending) {
+  const bool may_have_run = delivery.redelivered && may_be_non_idempotent(named_class(delivery, settings_));
+  if (may_have_run && recorder_.is_enabled() && answer_by_record(pending, delivery))
+    return;
+  reject(pending, Rejection::malformed, may_have_run);
 }
 
 bool FrontEnd::answer_by_record(const PendingDelivery& pending, const Delivery& delivery) {
--- a/src/amqp/front_end.h
+++ b/src/amqp/front_end.h
@@ -67,8 +67,9 @@
   // Returns true if the delivery was answered by the durable record of its call, so that it must not run.
   bool answer_by_record(const PendingDelivery& pending, const Delivery& delivery);
   void handle_call(core::Call&& call, Delivery&& delivery, const PendingDelivery& pending);
-  bool limit_timeout(const Properties& properties, core::Call& call);
+  void handle_malformed(const Delivery& delivery, const PendingDelivery& pending);
   void begin_call(core::Call&& call, const PendingDelivery& pending, bool non_idempotent);
+  // Of a call that may not have run: BUSY says that a retry is harmless.
   void reject(const PendingDelivery& pending, Rejection rejection, bool non_idempotent);
   // Fails a non-idempotent call that may have run before this delivery.
   void fail_may_have_run(const PendingDelivery& pending);
--- a/src/amqp/message_times.cpp
+++ b/src/amqp/message_times.cpp
@@ -33,6 +33,15 @@
   return Millis(static_cast<double>(*expiration_ms)) - waited;
 }
 
+bool limit_timeout(const Properties& properties, const WallTime& wall, Millis since_arrival,
+                   Millis& timeout) {
+  const auto remaining = time_left(properties, wall);
+  if (!remaining)
+    return false;
+  timeout = std::min(timeout, *remaining + since_arrival);
+  return timeout.count() <= 0;
+}
+
 std::optional<Millis> age_at_most(const Properties& properties, const WallTime& wall) {
   const auto earliest = earliest_publication(properties);
   if (!earliest || *earliest > wall.earliest + kMaxPublisherAhead)
--- a/src/amqp/message_times.h
+++ b/src/amqp/message_times.h
@@ -15,6 +15,11 @@
 // message has expired. At most its expiration. Returns nothing if the message has no timestamp or expiration.
 std::optional<Millis> time_left(const Properties& properties, const WallTime& wall);
 
+// Ends the timeout of a call, which counts from its arrival, when the message expires; returns true if it has
+// expired, since nobody waits for the answer then. By the current setting of the clock: if it has been set
+// back, every call would seem to have expired by its earlier setting.
+bool limit_timeout(const Properties& properties, const WallTime& wall, Millis since_arrival, Millis& timeout);
+
 // Returns the greatest age that the message can have by any setting of the clock that may be the right one.
 // Returns nothing if the age is unknown: the message has no timestamp, or one in the future.
 std::optional<Millis> age_at_most(const Properties& properties, const WallTime& wall);
