An answer of a host without a length is malformed, whatever its word

Cause: LineParser::finish_line takes lines of two and three words as whole, since requests may end early; an answer whose blank ahead of the length was spoilt has three, and an empty body stood in for the lost one. Change: a framed message says whether its line stated a length; decode_reply takes no answer without one, so the connection ends and what was out on it may have run. It works because the decoder is the one way from a host's line to an outcome. Two stand-ins answered `ensure` without a length, against PROTOCOL; they state it now. Ruled out: the length's parser, the handling of surplus bytes (they end the connection, too late for that call).

--- a/src/hosts/host_protocol.cpp
+++ b/src/hosts/host_protocol.cpp
@@ -116,7 +116,7 @@
 std::optional<HostReply> decode_reply(Reply&& reply, const std::vector<std::string>& report_fields) {
   const auto fields = net::parse_fields(reply.fields);
   const auto status = parse_status(reply.word);
-  if (!fields || !status || !is_valid_id(reply.id))
+  if (!fields || !status || !reply.body || !is_valid_id(reply.id))
     return std::nullopt;
   HostReply decoded;
   decoded.id = std::move(reply.id);
@@ -125,7 +125,7 @@
       std::min(parse_count(*fields, "crowd", kMaxParsedConcurrency), kMaxHostConcurrency);
   decoded.copies = parse_count(*fields, "count", kMaxParsedCopies);
   decoded.report = parse_report(field(*fields, "l"), report_fields);
-  decoded.body = std::move(reply.body);
+  decoded.body = std::move(*reply.body);
   return decoded;
 }
 
--- a/src/hosts/host_protocol.h
+++ b/src/hosts/host_protocol.h
@@ -9,7 +9,7 @@
 //   release FUNCTION                                                 UnloadRequest
 //   load TAG                                                         LoadReportRequest
 //   health TAG                                                       HealthCheckRequest
-//   ID WORD [FIELDS [LENGTH]]                                        HostReply, where FIELDS are
+//   ID WORD FIELDS LENGTH                                            HostReply, where FIELDS are - or
 //     l=NAME:VALUE;...  load report      crowd=N  host_concurrency      count=N  copies
 //   and WORD is one of those at ReplyStatus.
 #pragma once
@@ -96,7 +96,8 @@
 };
 
 // Decodes a framed reply. `report_fields`: the names of the report's values, in their order. Returns nothing
-// if the reply is malformed.
+// if the reply is malformed. A reply without a length is: the length was lost, and no body may stand in for
+// it.
 std::optional<HostReply> decode_reply(Reply&& reply, const std::vector<std::string>& report_fields);
 
 }  // namespace lotusyard::hosts
--- a/src/hosts/line_parser.cpp
+++ b/src/hosts/line_parser.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::string_view kBodyEnd = "\r\n";
-// ID WORD [FIELDS [LENGTH]]
+// ID WORD [FIELDS [LENGTH]]: requests may end early, see decode_reply() for replies.
 constexpr std::size_t kMinWords = 2;
 constexpr std::size_t kMaxWords = 4;
 
@@ -71,7 +71,7 @@
     state_ = State::malformed;
     return;
   }
-  reply_ = Reply{std::move(words[0]), std::move(words[1]), {}, {}};
+  reply_ = Reply{std::move(words[0]), std::move(words[1]), {}, std::nullopt};
   if (words.size() > kMinWords && words[2] != "-")
     reply_.fields = std::move(words[2]);
   if (words.size() < kMaxWords) {
@@ -83,6 +83,7 @@
     state_ = State::malformed;
     return;
   }
+  reply_.body.emplace();
   body_bytes_left_ = *length;
   body_end_bytes_ = 0;
   state_ = body_bytes_left_ > 0 ? State::body : State::body_end;
@@ -90,7 +91,7 @@
 
 void LineParser::read_body(std::string_view& bytes) {
   const std::size_t length = std::min(body_bytes_left_, bytes.size());
-  reply_.body.append(bytes.substr(0, length));
+  reply_.body->append(bytes.substr(0, length));
   bytes.remove_prefix(length);
   body_bytes_left_ -= length;
   if (body_bytes_left_ == 0)
--- a/src/hosts/line_parser.h
+++ b/src/hosts/line_parser.h
@@ -1,6 +1,7 @@
 // Framing of the host protocol: lines of words, some followed by a body of a stated length.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,8 +10,8 @@
 
 // One framed message, which hosts/host_protocol.h decodes. Requests have the same form.
 struct Reply {
-  std::string id, word, fields;  // fields: empty where the wire has '-' or nothing
-  std::string body;
+  std::string id, word, fields;     // fields: empty where the wire has '-' or nothing
+  std::optional<std::string> body;  // nothing where the line states no length
 };
 
 // Incremental parser that splits a byte stream into messages. Memory is bounded by the longest line and the
@@ -25,7 +26,7 @@
   // malformed, and on every later call.
   bool parse(std::string_view bytes, std::vector<Reply>& out);
   // Buffered bytes of an incomplete message.
-  std::size_t buffered_bytes() const { return line_.size() + reply_.body.size(); }
+  std::size_t buffered_bytes() const { return line_.size() + (reply_.body ? reply_.body->size() : 0); }
   // True if the rest of a message is still to arrive.
   bool has_partial_message() const {
     return state_ == State::body || state_ == State::body_end || !line_.empty();
--- a/tests/app/host_answers_test.cpp
+++ b/tests/app/host_answers_test.cpp
@@ -69,6 +69,26 @@
   CHECK(service.invoker.counters.value("hosts.links_opened") == 2);
 }
 
+// Guards against serving a body that no host made: an answer whose length noise has removed was taken for one
+// with an empty body.
+TEST_CASE("an answer that has lost its length is not served, whatever its word") {
+  RespFixture service(1);
+  const std::string word = GENERATE("data", "full", "absent", "moot", "failed");
+  int execs = 0;
+  service.invoker.host[0]->handler = [&](const std::string&) {
+    return execs++ == 0 ? Reaction{Kind::missing_length, word} : Reaction();
+  };
+  Client client(service.invoker, service.front_end.address());
+  client.call("1", "bin-record", "x");
+  REQUIRE(client.answer("1") != nullptr);
+  CHECK(client.answer("1")->at(1) == "FAILED");
+  CHECK(execs == 1);
+  CHECK(service.invoker.counters.value("hosts.malformed") == 1);
+  client.call("2", "bin-record", "y");
+  REQUIRE(client.answer("2") != nullptr);
+  CHECK(client.answer("2")->at(1) == "OK");
+}
+
 TEST_CASE("an answer with surplus bytes is delivered; nothing new is sent over its connection") {
   RespFixture service(1);
   const auto kind = GENERATE(Kind::duplicate_reply, Kind::unknown_call);
--- a/tests/app/second_site_host.h
+++ b/tests/app/second_site_host.h
@@ -91,7 +91,7 @@
     const Millis answer_at = is_query ? fixture_.loop.now() : load(function);
     const auto loaded = loaded_at_.find(function);
     const bool is_loaded = loaded != loaded_at_.end() && loaded->second <= answer_at;
-    const std::string answer = tag + " data count=" + (is_loaded ? "1" : "0") + "\r\n";
+    const std::string answer = tag + " data count=" + (is_loaded ? "1" : "0") + " 0\r\n\r\n";
     fixture_.loop.schedule_at(answer_at, [this, peer, answer] { write(peer, answer); });
   }
   void handle_call(int peer, const hosts::Reply& line) {
@@ -100,7 +100,7 @@
     if (below(random_, 40) == 0)
       return write(peer, line.word + " full - 0\r\n\r\n");
     const std::string key = net::field(*fields, "op");
-    const Execution execution{peer, line.word, line.body, key, is_repeat(key)};
+    const Execution execution{peer, line.word, line.body.value_or(""), key, is_repeat(key)};
     if (!key.empty() && !execution.is_repeat)
       runs_.key_received_at[key] = fixture_.loop.now();
     ++in_flight_;
--- a/tests/golden/hosts_golden.cpp
+++ b/tests/golden/hosts_golden.cpp
@@ -124,8 +124,9 @@
   if (!parser.parse(bytes, replies) || replies.size() != 1)
     throw std::runtime_error("not exactly one complete reply");
   const hosts::Reply& reply = replies.front();
+  const std::string& body = reply.body.value();
   return reply.id + ' ' + reply.word + ' ' + (reply.fields.empty() ? "-" : reply.fields) + ' ' +
-         std::to_string(reply.body.size()) + "\r\n" + reply.body + "\r\n";
+         std::to_string(body.size()) + "\r\n" + body + "\r\n";
 }
 
 }  // namespace
--- a/tests/hosts/connection_decisions_test.cpp
+++ b/tests/hosts/connection_decisions_test.cpp
@@ -173,6 +173,8 @@
   CHECK_FALSE(decode_reply({"a1", "done", "", ""}, {}));
   CHECK_FALSE(decode_reply({"A1", "data", "", ""}, {}));
   CHECK_FALSE(decode_reply({"a1", "data", "count", ""}, {}));
+  for (const char* word : {"data", "absent", "full", "failed", "moot", "well", "ill"})
+    CHECK_FALSE(decode_reply({"a1", word, "", std::nullopt}, {}));  // no length
   const auto reply = decode_reply({"a1", "data", "l=util:0.5,crowd=x,count=1001", ""}, {"inflight", "util"});
   REQUIRE(reply);
   CHECK_FALSE(reply->report);
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -70,7 +70,7 @@
     }
     bool well_formed = false;
     for (const auto& r : parse_in_parts<hosts::LineParser, hosts::Reply>(random, bytes, well_formed)) {
-      read.push_back(r.id + r.fields + r.body);
+      read.push_back(r.id + r.fields + r.body.value_or(""));
     }
     CHECK(read == sent);
     CHECK(well_formed);
--- a/tests/outage/outage_harness.cpp
+++ b/tests/outage/outage_harness.cpp
@@ -93,7 +93,7 @@
   request.at = now();
   request.host = host.id;
   request.rejected = rejected;
-  request.body = line.body;
+  request.body = line.body.value_or("");
   request.kind = HostRequest::Kind::call;
   if (line.id == "ensure") {
     if (line.fields.find("count=0") != std::string::npos)
--- a/tests/support/stand_in_host.h
+++ b/tests/support/stand_in_host.h
@@ -22,6 +22,7 @@
     partial_reply,    // half a reply, then the connection closes
     hang_up,          // the connection closes without a reply
     stall,            // half a reply, then nothing more on this connection
+    missing_length,   // the blank ahead of the length arrives as another character
     duplicate_reply,  // the reply is sent twice
     unknown_call,     // a reply to a call that was not sent to this host comes first
     malformed_reply   // a malformed reply to this call comes first
@@ -64,6 +65,10 @@
   std::function<void(const hosts::Reply&)> on_request = [](const hosts::Reply&) {};
 
  private:
+  static std::string without_length(std::string reply) {
+    reply[reply.rfind(' ', reply.find("\r\n"))] = ';';
+    return reply;
+  }
   void handle_request(Peer& peer, const hosts::Reply& line) {
     on_request(line);
     if (line.id == "drop")
@@ -81,22 +86,25 @@
       ++(is_query ? instance_queries : load_orders);
       if (is_query && ignores_checks)
         return;
-      peer.write(line.word + (draining && !is_query ? " full count=0\r\n" : " data count=1\r\n"));
+      peer.write(line.word + (draining && !is_query ? " full count=0" : " data count=1") + " 0\r\n\r\n");
     }
     if (line.id != "exec")
       return;
     ++execs;
+    const std::string request_body = line.body.value();
     fields.push_back(line.fields);
-    const Reaction reaction = draining ? Reaction{Reaction::reply, "full", 0} : handler(line.body);
+    const Reaction reaction = draining ? Reaction{Reaction::reply, "full", 0} : handler(request_body);
     if (reaction.kind != Reaction::reply || reaction.word == "data" || reaction.word == "failed")
-      ++runs[line.body];
-    const std::string body = reaction.length == 0 ? line.body : std::string(reaction.length, 'x');
+      ++runs[request_body];
+    const std::string body = reaction.length == 0 ? request_body : std::string(reaction.length, 'x');
     const std::string complete_reply = line.word + ' ' + reaction.word + " l=inflight:1;util:0.5 " +
                                        std::to_string(body.size()) + "\r\n" + body + "\r\n";
     if (reaction.kind == Reaction::unknown_call)
       peer.write("00000000000000ff data - 1\r\nx\r\n");
     if (reaction.kind == Reaction::malformed_reply)
       peer.write(line.word + " d\x01ta =,= 3\r\nxyz\r\n");
+    if (reaction.kind == Reaction::missing_length)
+      peer.write(without_length(complete_reply));
     if (reaction.kind == Reaction::duplicate_reply)
       peer.write(complete_reply);
     if (reaction.kind <= Reaction::reply || reaction.kind >= Reaction::duplicate_reply)
