A pending reply is joined only by deliveries that get the same answer

Cause: ReplyPublisher::find matched pending replies by message and address, so that the new answer was never published; on_accepted noted the late confirm for the new answer, in the store too. Change: a pending reply matches only with the same answer, and a confirm counts only for the answer that it confirms. Measured: "a later publication gets its own answer" waits in vain for the second answer on the code before (ended after 40 s), passes now; "a rej*", "under drops", "a confirmed", "a nacked" pass. Ruled out: the dispatcher (the call ran once and ended).

--- a/src/amqp/reply_publisher.cpp
+++ b/src/amqp/reply_publisher.cpp
@@ -56,9 +56,11 @@
 
 }  // namespace
 
-ReplyPublisher::Reply* ReplyPublisher::find(const std::string& call_key, const Publication& publication) {
+ReplyPublisher::Reply* ReplyPublisher::find(const PendingDelivery& delivery,
+                                            const std::shared_ptr<const core::Answer>& answer) {
   const auto matches = [&](const Reply& reply) {
-    return reply.call_key == call_key && reply.publication == publication;
+    return reply.answer == answer && reply.call_key == delivery.call_key &&
+           reply.publication == delivery.publication;
   };
   for (auto& [number, reply] : unconfirmed_) {
     if (matches(reply))
@@ -69,11 +71,11 @@
 }
 
 void ReplyPublisher::reply(const PendingDelivery& delivery) {
-  if (Reply* pending = find(delivery.call_key, delivery.publication)) {
+  CachedDelivery& cached = *cache_.find(delivery.call_key);
+  if (Reply* pending = find(delivery, cached.answer)) {
     pending->delivery_tags.push_back(delivery.tag);
     return;
   }
-  CachedDelivery& cached = *cache_.find(delivery.call_key);
   const ReceivedPublication* known = cached.find(delivery.publication);
   if (delivery.redelivered && known != nullptr && lacks_only_acknowledgement(*known, cached.answer->status))
     return connection_.channel()->acknowledge(delivery.tag);
@@ -124,7 +126,9 @@
 }
 
 void ReplyPublisher::on_accepted(const Reply& reply) {
-  if (CachedDelivery* cached = cache_.find(reply.call_key)) {
+  CachedDelivery* const cached = cache_.find(reply.call_key);
+  // If the message was published again meanwhile, what is confirmed is not the answer to that.
+  if (cached != nullptr && cached->answer == reply.answer) {
     ReceivedPublication& received = cached->add(reply.publication);
     received.confirmed = true;
     received.acknowledged = true;
--- a/src/amqp/reply_publisher.h
+++ b/src/amqp/reply_publisher.h
@@ -57,7 +57,9 @@
     std::vector<std::uint64_t> delivery_tags;  // acknowledged once the reply is confirmed
   };
 
-  Reply* find(const std::string& call_key, const Publication& publication);
+  // The reply with this answer that is not confirmed yet. One with an earlier answer to the same publication
+  // may be pending too.
+  Reply* find(const PendingDelivery& delivery, const std::shared_ptr<const core::Answer>& answer);
   void publish(Reply&& reply);
   std::vector<Reply> take_confirmed(const Confirmation& confirmation);
   void resend_later(Reply&& reply);
--- a/tests/amqp/repeated_publication_test.cpp
+++ b/tests/amqp/repeated_publication_test.cpp
@@ -202,5 +202,29 @@
   CHECK(t.words("1").empty());
 }
 
+// Guards against an answer that is never published, because the rejection of an earlier publication with the
+// same correlation id is still to be confirmed, or is confirmed in its place.
+TEST_CASE("a later publication gets its own answer though the earlier rejection is confirmed late") {
+  RepeatFixture t;
+  t.set_full(true);
+  t.broker.withholds_confirms = true;
+  t.deliver("1", false);
+  REQUIRE(t.wait_for_answer("1"));
+  t.set_full(false);
+  t.deliver("1", false);
+  REQUIRE(t.wait_for_answer("1", 2));
+  CHECK(t.words("1") == std::vector<std::string>{"BUSY", "OK"});
+  constexpr std::uint64_t kRejection = 1;  // the number of its message
+  t.broker.server.peers.front()->send_method(amqp::method::basic_ack, 1,
+                                             amqp::Writer().u64(kRejection).u8(0));
+  REQUIRE(t.invoker.run_until([&] { return t.broker.acked == 1; }, 20000));
+  t.broker.withholds_confirms = false;
+  t.drop_connection();  // the broker delivers the later publication again
+  REQUIRE(t.wait_until_settled());
+  CHECK(t.words("1") == std::vector<std::string>{"BUSY", "OK", "OK"});
+  CHECK(t.broker.acked == 2);
+  CHECK(t.runs() == 1);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
