Refs of AMQP calls differ by more than a digit or two

Callers could have seen the answer to another call: refs were numbers in a row, so that one spoilt digit of an answer's ref made it that of the next open call. Change: RefSequence sends the same numbers through the one-to-one finalizer of SplitMix64. Ruled out: the platform's protocol, whose refs are the clients' own.

--- a/src/amqp/front_end.cpp
+++ b/src/amqp/front_end.cpp
@@ -7,7 +7,6 @@
 #include "amqp/delivery_parser.h"
 #include "amqp/message_times.h"
 #include "metrics/amqp_counters.h"
-#include "net/fields.h"
 
 namespace lotusyard::amqp {
 
@@ -29,7 +28,7 @@
       recorder_(loop, store, limits.sole_consumer),
       connection_(loop, pool, counters, broker_, *this, settings.seed),
       publisher_(loop, counters, connection_, delivery_cache_, recorder_),
-      last_ref_(settings.seed) {}
+      refs_(settings.seed) {}
 
 void FrontEnd::on_channel_open() {
   counters_.add(metrics::kAmqpUp);
@@ -158,7 +157,7 @@
 void FrontEnd::begin_call(core::Call&& call, const PendingDelivery& pending, bool non_idempotent) {
   // Hosts require a reference of 16 hexadecimal digits that no other open call has; a message id may be
   // anything.
-  call.ref = net::hex16(++last_ref_);
+  call.ref = refs_.next();
   CachedDelivery& cached = delivery_cache_.insert(pending.call_key, non_idempotent, pending.publication);
   cached.waiters.push_back({pending.tag, pending.publication});
   const core::CallId id = dispatcher_.allocate_call_id();
--- a/src/amqp/front_end.h
+++ b/src/amqp/front_end.h
@@ -11,6 +11,7 @@
 #include "amqp/connection_supervisor.h"
 #include "amqp/delivery_admission.h"
 #include "amqp/delivery_cache.h"
+#include "amqp/ref_sequence.h"
 #include "amqp/reply_publisher.h"
 #include "amqp/result_recorder.h"
 #include "core/dispatcher.h"
@@ -86,7 +87,7 @@
   ConnectionSupervisor connection_;
   ReplyPublisher publisher_;
   std::unordered_map<core::CallId, OpenCall> open_calls_;
-  std::uint64_t last_ref_ = 0;
+  RefSequence refs_;
 };
 
 }  // namespace lotusyard::amqp
