--- a/src/amqp/front_end.h
+++ b/src/amqp/front_end.h
@@ -70,7 +70,7 @@
   void handle_call(core::Call&& call, Delivery&& delivery, const PendingDelivery& pending);
   void handle_malformed(const Delivery& delivery, const PendingDelivery& pending);
   void begin_call(core::Call&& call, const PendingDelivery& pending, bool non_idempotent);
-  // Of a call that may not have run: BUSY says that a retry is harmless.
+  // Answers the delivery and does not run its call. A status of `rejected` promises that a retry is harmless.
   void reject(const PendingDelivery& pending, Rejection rejection, bool non_idempotent);
   // Fails a non-idempotent call that may have run before this delivery.
   void fail_may_have_run(const PendingDelivery& pending);
