--- a/review/support-2/yard.py
+++ b/review/support-2/yard.py
@@ -374,8 +374,8 @@
 class Platform:
     """Holds the clients' listening socket; each process inherits it as descriptor 3."""
 
-    def __init__(self, log, memory_mb, sockets):
-        self.log, self.memory_mb, self.sockets = log, memory_mb, sockets
+    def __init__(self, log, memory_mb, sockets, config=None):
+        self.log, self.memory_mb, self.sockets, self.config = log, memory_mb, sockets, config or settings()
         self.listener = socket.socket()
         self.listener.bind(("127.0.0.1", 0))
         self.listener.listen(512)
@@ -385,7 +385,7 @@
         self.current = None
 
     def launch(self):
-        invoker = Invoker(self.log, settings(), memory_mb=self.memory_mb, sockets=self.sockets, tmp=self.folder)
+        invoker = Invoker(self.log, self.config, memory_mb=self.memory_mb, sockets=self.sockets, tmp=self.folder)
         invoker.address = invoker.content["listen"] = self.address
         invoker.content["console"] = "127.0.0.1:%d" % free_port()
         invoker.write()
