Tables that clients can fill have a share of the memory, and made-up names go first

Cause: the bound of the policy's table of functions (4,096) excepted records with an instance, and each call that is sent leaves an assumed one for 9.4 s whatever its answer. The refs of ended attempts were bounded for each connection alone. Neither followed memory_mb.

Evidence: nothing told what held the memory, so functions.known, functions.bytes, functions.evicted and hosts.ended_refs were added first.

Change: shares_of gives both tables a share; FunctionTable::prune evicts past it, and past 4,096 unconfirmed records, unconfirmed and longest unused first, never one in use; EndedRefs counts over all connections; an empty queue takes no heap (a list for a deque). A request counts in its function's open_requests, so that no open request can lose its record.

Ruled out: bodies, unwritten answers, parser buffers (18 KB a connection) do not grow in the case; dropping assumed instances after a failure would change placement and leave served names unbounded.

--- a/include/lotusyard/policy/policy.h
+++ b/include/lotusyard/policy/policy.h
@@ -2,6 +2,7 @@
 // clock; the caller passes the time with each event.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -22,6 +23,13 @@
   virtual bool allows(const std::string& tenant, std::uint64_t function, const std::string& host) = 0;
 };
 
+// The size of the table of functions.
+struct FunctionTableSize {
+  std::size_t functions = 0;
+  std::size_t bytes = 0;      // estimated, as of the latest sweep
+  std::uint64_t evicted = 0;  // functions that were dropped because the table was full
+};
+
 // The decisions of one invoker. The first event is a Start.
 class Policy {
  public:
@@ -34,6 +42,8 @@
   void set_host_filter(HostFilter* host_filter);
   // Handles one event at time `now` and appends the resulting actions.
   void handle(Millis now, const Event& event, std::vector<Action>& out);
+  // Zero before the first event::Start.
+  FunctionTableSize function_table_size() const;
 
  private:
   class State;
--- a/src/app/invoker_readiness.cpp
+++ b/src/app/invoker_readiness.cpp
@@ -70,6 +70,11 @@
 void Invoker::print_counters() {
   const hosts::ReadinessMonitor& monitor = host_connections_.readiness_monitor();
   counters_.set(metrics::kEndpointsListAge, static_cast<std::uint64_t>(monitor.list_age().count()));
+  const policy::FunctionTableSize functions = dispatcher_.function_table_size();
+  counters_.set(metrics::kFunctionsKnown, functions.functions);
+  counters_.set(metrics::kFunctionsBytes, functions.bytes);
+  counters_.set(metrics::kFunctionsEvicted, functions.evicted);
+  counters_.set(metrics::kHostsEndedRefs, host_connections_.ended_refs());
   counters_.print(std::cout);
   monitor.print_withheld(std::cout, kMaxPrintedHosts);
 }
--- a/src/app/resource_limits.cpp
+++ b/src/app/resource_limits.cpp
@@ -60,6 +60,7 @@
   limits.max_attempts_per_connection = config.max_attempts_per_connection;
   limits.max_connections = shares.host_connections;
   limits.max_incoming_bytes = shares.incoming;
+  limits.max_ended_ref_bytes = shares.ended_refs;
   limits.max_answer_bytes = longest_answer(config, shares);
   limits.report_fields = config.report_fields;
   limits.liveness = liveness_probe(settings);
@@ -70,6 +71,12 @@
   return limits;
 }
 
+core::Settings policy_settings(const config::Config& config, const hot_restart::ResourceShares& shares) {
+  core::Settings settings = config.settings;
+  settings.function_table_bytes = shares.functions;
+  return settings;
+}
+
 resp::FrontEnd::Limits client_limits(const hot_restart::ResourceShares& shares) {
   resp::FrontEnd::Limits limits;
   limits.clients = shares.clients;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -82,6 +82,8 @@
   // When tick() is due; infinite if nothing is.
   Millis next_deadline() const;
   std::size_t open_calls() const { return calls_.size(); }
+  // The memory of functions that clients have called, whether or not they exist.
+  policy::FunctionTableSize function_table_size() const { return policy_.function_table_size(); }
 
  private:
   std::optional<RejectionReason> check_admission(const Call& call);
--- a/src/core/policy_driver.h
+++ b/src/core/policy_driver.h
@@ -28,6 +28,7 @@
   // When the next timer is due; infinite if none is set.
   Millis next_tick() const;
   void set_host_filter(policy::HostFilter* host_filter) { policy_.set_host_filter(host_filter); }
+  policy::FunctionTableSize function_table_size() const { return policy_.function_table_size(); }
 
  private:
   struct Timer {
--- a/src/core/policy_runner.h
+++ b/src/core/policy_runner.h
@@ -23,6 +23,7 @@
   // When tick() is due; possibly infinite.
   Millis next_tick() const { return driver_.next_tick(); }
   void set_host_filter(policy::HostFilter* host_filter) { driver_.set_host_filter(host_filter); }
+  policy::FunctionTableSize function_table_size() const { return driver_.function_table_size(); }
 
  private:
   void execute_steps(Steps&& steps);
--- a/src/hosts/connection_pool.cpp
+++ b/src/hosts/connection_pool.cpp
@@ -10,11 +10,18 @@
 namespace lotusyard::hosts {
 
 HostConnectionPool::HostConnectionPool(net::EventLoop& loop, net::BufferPool& buffers,
-                                       metrics::Counters& counters, Limits limits)
-    : services_{loop, buffers, counters, *this, std::move(limits)} {}
+                                       metrics::Counters& counters, const Limits& limits)
+    : services_{loop, buffers, counters, *this, {}} {
+  set_limits(limits);
+}
 
 HostConnectionPool::~HostConnectionPool() { services_.loop.cancel(retry_timer_); }
 
+void HostConnectionPool::set_limits(const Limits& limits) {
+  services_.limits = limits;
+  services_.ended_refs->max_bytes = limits.max_ended_ref_bytes;
+}
+
 void HostConnectionPool::attach(core::Dispatcher& dispatcher) {
   services_.dispatcher = &dispatcher;
   dispatcher.set_host_filter(host_filter(nullptr));
--- a/src/hosts/connection_pool.h
+++ b/src/hosts/connection_pool.h
@@ -1,6 +1,7 @@
 // Connection pool to all hosts: sends attempts, load requests and probes, and reports their results.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,7 +29,7 @@
  public:
   // All references have to outlive the pool.
   HostConnectionPool(net::EventLoop& loop, net::BufferPool& buffers, metrics::Counters& counters,
-                     Limits limits);
+                     const Limits& limits);
   ~HostConnectionPool() override;
 
   // Sets the dispatcher that receives the results, and installs the pool's host filter in it. Must be called
@@ -53,7 +54,9 @@
   // An empty filter allows everything.
   void set_send_filter(SendFilter may_send) { send_filter_ = std::move(may_send); }
   // Applies to open connections as well.
-  void set_limits(const Limits& limits) { services_.limits = limits; }
+  void set_limits(const Limits& limits);
+  // The refs of attempts that have ended, over all connections.
+  std::size_t ended_refs() const { return services_.ended_refs->refs; }
 
   // Receives the confirmations of the endpoint list, and tracks the readiness of the hosts.
   ReadinessMonitor& readiness_monitor() { return readiness_monitor_; }
--- a/src/hosts/connection_services.h
+++ b/src/hosts/connection_services.h
@@ -1,8 +1,11 @@
 // Services, limits and state that the connections of one pool share.
 #pragma once
 
+#include <memory>
+
 #include "core/dispatcher.h"
 #include "hosts/connect_backoff.h"
+#include "hosts/ended_refs.h"
 #include "hosts/limits.h"
 #include "hosts/liveness_probe_budget.h"
 #include "hosts/response_time_estimate.h"
@@ -27,6 +30,7 @@
   LivenessProbeBudget probe_budget{};
   ResponseTimeEstimate response_times{};
   TagSequence tags{};
+  std::shared_ptr<EndedRefMemory> ended_refs = std::make_shared<EndedRefMemory>();
 
   // True while this machine may be unable to make new connections. Evaluated for each host of each call, so
   // it reads the clock only after a failure.
--- a/src/hosts/ended_refs.cpp
+++ b/src/hosts/ended_refs.cpp
@@ -5,13 +5,20 @@
 
 // Bounds the memory of a connection that carries thousands of calls a second.
 constexpr std::size_t kMaxRefs = 2048;
+// A connection keeps these even if others use up the memory: as many as it may have in flight.
+constexpr std::size_t kMinRefs = 32;
+// Of the usual ref of 16 characters, with the nodes of both containers and the allocator's headers.
+constexpr std::size_t kRefBytes = 160;
 
 }  // namespace
 
 void EndedRefs::add(const std::string& ref, State state, Millis now, Millis retention) {
   expire(now, retention);
-  if (states_.emplace(ref, state).second)
-    ended_at_.emplace_back(now, ref);
+  const auto [entry, is_new] = states_.emplace(ref, state);
+  if (!is_new)
+    return;
+  ended_.push_back({now, &*entry});
+  ++memory_->refs;
 }
 
 bool EndedRefs::accept_late_answer(const std::string& ref) {
@@ -23,13 +30,19 @@
 }
 
 void EndedRefs::expire(Millis now, Millis retention) {
-  while (!ended_at_.empty()) {
-    const auto& [ended_at, ref] = ended_at_.front();
-    if (now - ended_at <= retention && ended_at_.size() <= kMaxRefs)
+  while (!ended_.empty()) {
+    const EndedRef& oldest = ended_.front();
+    if (now - oldest.ended_at <= retention && !exceeds_limits())
       return;
-    states_.erase(ref);
-    ended_at_.pop_front();
+    states_.erase(states_.find(oldest.state->first));
+    ended_.pop_front();
+    --memory_->refs;
   }
 }
 
+bool EndedRefs::exceeds_limits() const {
+  const bool memory_is_full = memory_->refs * kRefBytes >= memory_->max_bytes;
+  return ended_.size() > kMaxRefs || (memory_is_full && ended_.size() > kMinRefs);
+}
+
 }  // namespace lotusyard::hosts
--- a/src/hosts/host_connection.h
+++ b/src/hosts/host_connection.h
@@ -116,7 +116,7 @@
   Attempts attempts_;  // by ref
   Queries queries_;    // by tag
   std::deque<PendingWrite> pending_writes_;
-  EndedRefs ended_refs_;
+  EndedRefs ended_refs_{services_.ended_refs};
   SilenceMonitor silence_;
   std::size_t buffered_bytes_ = 0;
   Millis connected_at_{0};
--- a/src/hosts/limits.h
+++ b/src/hosts/limits.h
@@ -32,6 +32,8 @@
   std::size_t max_answer_bytes = 1U << 20;
   // Bytes of incomplete answers over all connections.
   std::size_t max_incoming_bytes = 32U << 20;
+  // Bytes of the refs of attempts that have ended, over all connections.
+  std::size_t max_ended_ref_bytes = 4U << 20;
   // Names of the fields of a host's load report, in the order in which the policy expects their values.
   std::vector<std::string> report_fields;
 };
--- a/src/metrics/call_counters.h
+++ b/src/metrics/call_counters.h
@@ -48,6 +48,11 @@
     "guard.send_stopped", "attempts of the policy that broke a rule and were stopped; 0 when all is well"};
 inline constexpr Counter kGuardHostNotReady{
     "guard.host_not_ready", "sends to a host that may not be used, stopped; 0 when all is well"};
+inline constexpr Counter kFunctionsKnown{"functions.known",
+                                         "functions in the table of the policy, when it is printed"};
+inline constexpr Counter kFunctionsBytes{"functions.bytes", "bytes of that table, when it is printed"};
+inline constexpr Counter kFunctionsEvicted{
+    "functions.evicted", "functions that were dropped because that table was full; 0 when all is well"};
 inline constexpr Counter kConfigReread{"config.reread",
                                        "configurations that SIGHUP had read and that were applied"};
 inline constexpr Counter kConfigFaulty{"config.faulty",
--- a/src/metrics/host_counters.h
+++ b/src/metrics/host_counters.h
@@ -37,6 +37,8 @@
                                           "sends that waited for a connection and never went out"};
 inline constexpr Counter kHostsWaitsForConnection{
     "hosts.waits_for_connection", "sends that had to wait until this machine can make connections again"};
+inline constexpr Counter kHostsEndedRefs{
+    "hosts.ended_refs", "refs of ended attempts that are remembered for late answers, when it is printed"};
 inline constexpr Counter kHostsReadinessChecks{"hosts.readiness_checks",
                                                "health checks of hosts that were not known to take new work"};
 inline constexpr Counter kHostsReadinessUnanswered{"hosts.readiness_unanswered",
--- a/src/policy/constants.h
+++ b/src/policy/constants.h
@@ -49,8 +49,10 @@
 // Lifetime of unused records; the second: of functions whose calls were never answered.
 constexpr Millis kRecordLifetime{60000};
 constexpr Millis kNewRecordLifetime{5000};
-// With more functions than this, unused ones are dropped at each sweep: a client may call any name.
-constexpr std::size_t kMaxFunctions = 4096;
+// Records of functions that are not in use and that no host has confirmed: a client may call any name.
+constexpr std::size_t kMaxUnconfirmedFunctions = 4096;
+// A full table of functions is emptied by this fraction at once, because each eviction sorts it.
+constexpr double kEvictedFraction = 0.125;
 // Pause before an endpoint list is requested again after a failure.
 constexpr Millis kListRetryPause{1000};
 // Random pauses are this to this plus one times their length, so that invokers do not act simultaneously.
--- a/src/policy/function_table.cpp
+++ b/src/policy/function_table.cpp
@@ -28,18 +28,6 @@
   return function;
 }
 
-void FunctionTable::prune() {
-  const auto is_stale = [this](const std::unique_ptr<Function>& function) {
-    Millis lifetime = function->run_time.known() ? kRecordLifetime : kNewRecordLifetime;
-    if (functions_.size() > kMaxFunctions)
-      lifetime = kSweepInterval;
-    const bool is_empty = function->queue.empty() && function->instances.empty();
-    const bool unused = is_empty && context_.now() - function->last_call_at > lifetime;
-    return unused && index_.erase(function->id) > 0;
-  };
-  functions_.erase(std::remove_if(functions_.begin(), functions_.end(), is_stale), functions_.end());
-}
-
 double FunctionTable::run_time(const Function& function) const {
   const MovingAverage& own = function.run_time;
   return own.known() ? own.value : classes_.record(function.class_index).run_time.value;
--- a/src/policy/function_table.h
+++ b/src/policy/function_table.h
@@ -1,6 +1,7 @@
 // Functions: the statistics of each, its instances on hosts, and the loads in progress.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
@@ -12,8 +13,9 @@
 
 namespace lotusyard::policy {
 
-// Owns all functions, in the order in which they were first called; addresses stay valid until prune().
-// Times are in milliseconds.
+// Owns all functions, in the order in which they were first called; addresses stay valid until prune(), and
+// for as long as the function is in use. Bounded by kMaxUnconfirmedFunctions, and by
+// Settings::function_table_bytes. Times are in milliseconds.
 class FunctionTable {
  public:
   FunctionTable(const Context& context, ClassTable& classes) : context_(context), classes_(classes) {}
@@ -24,8 +26,11 @@
   Function* find(std::uint64_t id) const;
   // Records a call, and adds the function if it is new.
   Function& record_arrival(const event::Request& request, int class_index);
-  // Removes functions that have no queued request and no instance, and were not called for a while.
+  // Removes functions that are not in use, have no instance and were not called for a while. If the table is
+  // still too large, it evicts functions that are not in use, whatever is known of their instances: first
+  // those that no host has confirmed, then those that were not called for longest.
   void prune();
+  FunctionTableSize size() const { return {functions_.size(), bytes_, evicted_}; }
 
   // Usual run time of a call: the function's, else its class's.
   double run_time(const Function& function) const;
@@ -50,6 +55,18 @@
   void drop_instances(int host);
 
  private:
+  // How much the table exceeds its bounds, in functions that no host has confirmed, and in bytes.
+  struct Excess {
+    std::size_t unconfirmed = 0;
+    std::size_t bytes = 0;
+  };
+
+  void drop_stale();
+  Excess measure_excess();
+  std::vector<Function*> eviction_candidates() const;
+  void evict(Excess excess);
+  void erase(const std::vector<Function*>& evicted);
+
   const Context& context_;
   ClassTable& classes_;
   std::vector<std::unique_ptr<Function>> functions_;
@@ -57,6 +74,8 @@
   MovingAverage any_run_time_;
   MovingAverage any_load_time_;
   int loads_in_progress_ = 0;  // sum of InstanceSet::loading
+  std::size_t bytes_ = 0;
+  std::uint64_t evicted_ = 0;
 };
 
 }  // namespace lotusyard::policy
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -28,6 +28,10 @@
       scheduler_->handle(now_, event, actions);
   }
 
+  FunctionTableSize function_table_size() const {
+    return scheduler_ != nullptr ? scheduler_->function_table_size() : FunctionTableSize{};
+  }
+
  private:
   Millis now_{kNever};
   HostFilter* host_filter_ = nullptr;
@@ -42,5 +46,6 @@
 void Policy::handle(Millis now, const Event& event, std::vector<Action>& out) {
   state_->handle(now, event, out);
 }
+FunctionTableSize Policy::function_table_size() const { return state_->function_table_size(); }
 
 }  // namespace lotusyard::policy
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <string>
 #include <vector>
 
@@ -34,11 +34,12 @@
   int lanes = 1;  // calls that one instance serves at once
   MovingAverage run_time;
   MovingAverage load_time;
-  double baseline = 0;              // run time on an idle host, in milliseconds
-  double load_hint = 0;             // load time that requests state, in milliseconds; 0: none
-  double arrivals = 0;              // calls of this invoker, decaying with kDemandTimeConstant
-  double host_concurrency = 0;      // moving average of its concurrent calls, as hosts report them
-  std::deque<std::uint64_t> queue;  // serials of requests that wait for a host
+  double baseline = 0;             // run time on an idle host, in milliseconds
+  double load_hint = 0;            // load time that requests state, in milliseconds; 0: none
+  double arrivals = 0;             // calls of this invoker, decaying with kDemandTimeConstant
+  double host_concurrency = 0;     // moving average of its concurrent calls, as hosts report them
+  std::list<std::uint64_t> queue;  // serials of requests that wait for a host; a list: usually it is empty
+  int open_requests = 0;           // in RequestTable
   std::vector<InstanceSet> instances;
   Millis last_call_at{kNever};
   Millis created_at{kNever};
@@ -48,6 +49,16 @@
   int list_version = -1;     // endpoint list from which `hosts` was computed
   bool last_missed = false;  // the latest call found no instance
 
+  // Whether a host has ever served a call or loaded an instance: it is no name that a client made up.
+  bool is_confirmed() const {
+    return run_time.known() || load_time.known() ||
+           std::any_of(instances.begin(), instances.end(), [](const auto& set) { return set.proven; });
+  }
+  // Whether a request or a load order refers to the record.
+  bool is_in_use() const {
+    return open_requests > 0 ||
+           std::any_of(instances.begin(), instances.end(), [](const auto& set) { return set.loading > 0; });
+  }
   // The instances on a host, or null.
   InstanceSet* find_instances(int host) {
     for (auto& set : instances) {
--- a/src/policy/request_table.cpp
+++ b/src/policy/request_table.cpp
@@ -14,6 +14,7 @@
 }
 
 void RequestTable::erase(const Request& request) {
+  --request.function->open_requests;
   serials_.erase(request.id);
   requests_.erase(request.serial);
 }
--- a/src/policy/request_table.h
+++ b/src/policy/request_table.h
@@ -14,7 +14,7 @@
 class RequestTable {
  public:
   bool contains(const std::string& id) const { return serials_.count(id) != 0; }
-  // Adds a request with the next serial.
+  // Adds a request with the next serial. Its function has to be set, and counts it in `open_requests`.
   Request& add(const std::string& id);
   void erase(const Request& request);
 
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -60,6 +60,7 @@
   request.class_index = classes_.find(event.class_name);
   request.max_attempts = context_.settings().retries.max_attempts;
   request.function = &functions_.record_arrival(event, request.class_index);
+  ++request.function->open_requests;
   request.tenant = event.tenant;
   request.deadline = context_.now() + event.expires_in;
   set_objective(request, event.expires_in);
--- a/src/policy/scheduler.h
+++ b/src/policy/scheduler.h
@@ -38,6 +38,8 @@
   // Handles one event at time `now` and appends the resulting actions.
   void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
+  FunctionTableSize function_table_size() const { return functions_.size(); }
+
  private:
   void on(const event::Start& start);
   void on(const event::Stop&) {}  // Policy drops the scheduler
--- a/tests/hosts/connection_decisions_test.cpp
+++ b/tests/hosts/connection_decisions_test.cpp
@@ -110,7 +110,7 @@
 
 TEST_CASE("an ended ref accepts one late answer if it was cancelled, and expires after its retention") {
   constexpr Millis kRetention{100};
-  EndedRefs refs;
+  EndedRefs refs(std::make_shared<EndedRefMemory>());
   refs.add("a1", EndedRefs::State::cancelled, Millis(0), kRetention);
   refs.add("a2", EndedRefs::State::answered, Millis(100), kRetention);
   CHECK(refs.accept_late_answer("a1"));
@@ -122,6 +122,27 @@
   CHECK(refs.contains("a2"));
 }
 
+// Guards against: a bound for each connection alone, which hundreds of connections multiply.
+TEST_CASE("the ended refs of all connections together stay within their share of the memory") {
+  constexpr Millis kRetention{10000};
+  constexpr std::size_t kMaxRefs = 1000;
+  const auto memory = std::make_shared<EndedRefMemory>();
+  memory->max_bytes = kMaxRefs * 160;
+  {
+    EndedRefs first(memory);
+    for (int i = 0; i < 2000; ++i)
+      first.add("a" + std::to_string(i), EndedRefs::State::answered, Millis(i), kRetention);
+    CHECK(memory->refs == kMaxRefs);
+    EndedRefs second(memory);
+    for (int i = 0; i < 2000; ++i)
+      second.add("b" + std::to_string(i), EndedRefs::State::answered, Millis(2000 + i), kRetention);
+    CHECK(memory->refs <= kMaxRefs + 33);
+    CHECK(second.contains("b1999"));
+    CHECK(second.contains("b1970"));
+  }
+  CHECK(memory->refs == 0);
+}
+
 WaitingSend waiting_attempt(const std::string& host, core::CallId call) {
   WaitingSend send;
   send.host = host;
