A connection ends once its client has received its answers, not once the kernel has taken them

Cause: a connection was at rest as soon as its answers were with the kernel. Its sending side was shut down, and it was closed 1 s later with bytes still on their way; the client goes on sending until it has read the end, and a call to a closed socket resets the connection.

Evidence: /proc/net/tcp sampled beside the case: FIN_WAIT1 with 561,687 bytes not acknowledged 0.01 s after SIGTERM, 228,297 at 1.09 s, then the reset; nine answers lost on that connection.

Change: BufferedConnection::delivery asks the kernel what is not acknowledged (SIOCOUTQ), and is the one place that says whether a close loses something: the hand-over, eviction for room, the linger time-out and the exit of a process ask it.

Ruled out: a longer linger time alone (the client sends for as long as it has not read the end). What a client's kernel has and the client has not read can't be told: calls written up to some 0.3 s after the end was sent stay unanswered there (docs/open-items.md).

--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -95,7 +95,7 @@
 }
 
 std::optional<ShutdownCommand> GracefulShutdown::limit_arrivals(const ShutdownFacts& facts) {
-  all_answered_ = !facts.calls_open && !facts.answers_unwritten;
+  all_answered_ = !facts.calls_open && !facts.answers_undelivered;
   if (ownership_ == ListenerOwnership::shared) {
     state_ = State::handing_off;
     // Otherwise a connection that always has a call open would have one at SIGKILL, too, and lose it.
@@ -139,7 +139,7 @@
 }
 
 ShutdownCommand GracefulShutdown::confirm_idle(const ShutdownFacts& facts) {
-  const bool idle = !facts.client_input_found && !facts.answers_unwritten;
+  const bool idle = !facts.client_input_found && !facts.answers_undelivered;
   return finish(idle ? ShutdownCommand::exit : ShutdownCommand::wait);
 }
 
--- a/src/app/graceful_shutdown.h
+++ b/src/app/graceful_shutdown.h
@@ -23,7 +23,7 @@
 //                   -- something is open [wait] -----------------> waiting
 //                   -- else [answer_open_calls] -----------------> reading_last_input
 //   reading_last_input -- [read_client_input] -------------------> confirming_idle
-//   confirming_idle -- nothing was read, all is written [exit] --> exited
+//   confirming_idle -- nothing read, all is delivered [exit] ----> exited
 //                   -- else [wait] ------------------------------> waiting
 #pragma once
 
@@ -57,7 +57,7 @@
 // What is true at the time of a decision.
 struct ShutdownFacts {
   bool calls_open = false;
-  bool answers_unwritten = false;
+  bool answers_undelivered = false;     // clients have not received them yet, and still read
   bool triggers_pending = false;        // deliveries without an answer that the broker has confirmed
   bool admin_requests_pending = false;  // requests to the admin endpoint
   bool connections_open = false;        // found by hand_off_connections
--- a/src/app/invoker_shutdown.cpp
+++ b/src/app/invoker_shutdown.cpp
@@ -33,7 +33,7 @@
 
 void Invoker::observe(ShutdownFacts& facts) const {
   facts.calls_open = front_.open_calls() > 0;
-  facts.answers_unwritten = !front_.written();
+  facts.answers_undelivered = !front_.all_delivered();
   facts.triggers_pending = triggers_ && !triggers_->done();
   facts.admin_requests_pending = admin_endpoint_ && !admin_endpoint_->quiet();
 }
--- a/src/net/buffered_connection.cpp
+++ b/src/net/buffered_connection.cpp
@@ -11,8 +11,8 @@
 namespace lotusyard::net {
 namespace {
 
-constexpr int kMaxReadsPerIteration = 8;    // a busy peer must not keep the others waiting
-constexpr Millis kLingerTimeout{1000};      // a peer has closed within this after the end of the stream
+constexpr int kMaxReadsPerIteration = 8;  // a busy peer must not keep the others waiting
+constexpr Millis kLingerTimeout{1000};    // a peer closes within this after it has read the end of the stream
 constexpr Millis kMemoryRetryInterval{5};   // between calls that fail for lack of memory
 constexpr Millis kMaxMemoryShortage{2000};  // a connection that is short of memory for longer is closed
 
@@ -134,7 +134,27 @@
 void BufferedConnection::shutdown_write() {
   shutdown_ = Shutdown::lingering;
   ::shutdown(socket_.fd(), SHUT_WR);
-  linger_timer_ = loop_.schedule_at(loop_.now() + kLingerTimeout, [this] { close_later(); });
+  start_linger_timer();
+}
+
+// A peer that reads slowly goes on sending until it has read the end of the stream. What it sends to a closed
+// socket resets the connection, so the socket stays open for as long as something is on its way.
+void BufferedConnection::start_linger_timer() {
+  linger_timer_ = loop_.schedule_at(loop_.now() + kLingerTimeout, [this] {
+    if (delivery() == Delivery::pending)
+      return start_linger_timer();
+    close_later();
+  });
+}
+
+BufferedConnection::Delivery BufferedConnection::delivery() {
+  if (!socket_)
+    return Delivery::complete;
+  const std::size_t in_kernel = undelivered_bytes(socket_);
+  if (send_queue_.empty() && in_kernel == 0)
+    return Delivery::complete;
+  const std::uint64_t delivered = send_queue_.written() - in_kernel;
+  return delivery_progress_.is_stalled(delivered, loop_.now()) ? Delivery::stalled : Delivery::pending;
 }
 
 void BufferedConnection::close_now() {
--- a/src/net/buffered_connection.h
+++ b/src/net/buffered_connection.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string_view>
 
+#include "net/delivery_progress.h"
 #include "net/event_loop.h"
 #include "net/socket.h"
 
@@ -30,9 +31,9 @@
   // Closes the connection from the event loop, so that on_closed() does not interrupt the caller.
   void close_later();
 
-  // Sends what is queued, shuts down the sending side and goes on reading until the peer closes or a
-  // time-out. Closing at once could reset the connection, and the peer would lose data that it has not read
-  // yet.
+  // Sends what is queued, shuts down the sending side and goes on reading until the peer closes, or until a
+  // time-out after the peer has received everything. Closing at once could reset the connection, and the peer
+  // would lose data on its way.
   void shutdown_after_flush();
 
   bool is_open() const { return static_cast<bool>(socket_) && !connecting_; }
@@ -40,6 +41,13 @@
   // Whether bytes written now would never be sent.
   bool is_closing() const { return shutdown_ != Shutdown::none || !socket_; }
   const SendQueue& send_queue() const { return send_queue_; }
+  // What a peer has of the bytes that were written. Makes a system call.
+  enum class Delivery {
+    complete,  // its kernel has all of them: closing the connection loses none
+    pending,
+    stalled  // pending, and the peer seems to read no more
+  };
+  Delivery delivery();
   // Why the connection could not be established; set before on_closed() is called.
   const std::optional<ConnectError>& connect_error() const { return connect_error_; }
   // Whether reads and writes are paused because this machine had no memory for the last one.
@@ -81,6 +89,7 @@
   bool write_failed_ = false;
   std::optional<ConnectError> connect_error_;
   bool paused_for_memory_ = false;
+  DeliveryProgress delivery_progress_;
   std::optional<Millis> short_of_memory_since_;  // the first failure since the last call that succeeded
   EventLoop::TimerId linger_timer_{};
   EventLoop::TimerId resume_timer_{};
@@ -91,6 +100,7 @@
   void finish_connecting(short events);
   void handle_write_status(SendQueue::WriteStatus status);
   void shutdown_write();
+  void start_linger_timer();
   void read();
   void read_remaining();
   void handle_read_error(int error_number);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -173,6 +173,10 @@
   return disconnected ? PeerState::disconnected : PeerState::readable;
 }
 
+std::size_t undelivered_bytes(const Socket& socket) {
+  return static_cast<std::size_t>(std::max(system_calls::unacknowledged_bytes(socket.fd()), 0));
+}
+
 int pending_error(const Socket& socket) { return system_calls::pending_error(socket.fd()); }
 
 std::string bound_address(const Socket& listener) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -1,6 +1,7 @@
 // Owned descriptors, and the ways in which the program opens sockets. All sockets are non-blocking.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <utility>
@@ -81,4 +82,8 @@
 };
 PeerState peek_peer(const Socket& socket);
 
+// The bytes, the end of the stream included, that the kernel was given to send and that the peer's kernel has
+// not acknowledged. A reset drops these; what was acknowledged can still be read. 0 if it cannot be told.
+std::size_t undelivered_bytes(const Socket& socket);
+
 }  // namespace lotusyard::net
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -1,5 +1,8 @@
 #include "net/system_calls.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <cerrno>
 
 namespace lotusyard::net::system_calls {
@@ -17,5 +20,9 @@
 ssize_t send(int fd, const void* bytes, std::size_t size, int flags) {
   return ::send(fd, bytes, size, flags);
 }
+int unacknowledged_bytes(int fd) {
+  int bytes = 0;
+  return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
 
 }  // namespace lotusyard::net::system_calls
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -20,5 +20,7 @@
 int poll(pollfd* descriptors, nfds_t count, int timeout_ms);
 ssize_t receive(int fd, void* bytes, std::size_t size, int flags);
 ssize_t send(int fd, const void* bytes, std::size_t size, int flags);
+// Bytes that were sent and that the peer has not acknowledged (SIOCOUTQ in tcp(7)); -1 with errno on failure.
+int unacknowledged_bytes(int fd);
 
 }  // namespace lotusyard::net::system_calls
--- a/src/resp/client_connection.cpp
+++ b/src/resp/client_connection.cpp
@@ -65,8 +65,8 @@
   return is_closing() ? 0 : send_queue().appended() - send_queue().written();
 }
 
-bool ClientConnection::is_at_rest() const {
-  return has_sent_request() && is_idle() && !parser_.in_progress() && !is_closing();
+bool ClientConnection::is_at_rest() {
+  return has_sent_request() && !parser_.in_progress() && !is_closing() && is_delivered();
 }
 
 void ClientConnection::drain_socket() {
--- a/src/resp/client_connection.h
+++ b/src/resp/client_connection.h
@@ -91,10 +91,12 @@
 
   // The bytes of responses that were not written to the socket yet.
   std::uint64_t unwritten_bytes() const;
-  // Nothing is open and nothing has to be written.
+  // No call is open and no response waits to be written; one may be on its way to the client.
   bool is_idle() const { return open_calls_.empty() && send_queue().empty(); }
-  // Idle, after a complete request: closing it now loses nothing that was read.
-  bool is_at_rest() const;
+  // Idle, and the client has received all responses: closing it now loses none.
+  bool is_delivered() { return is_idle() && delivery() == Delivery::complete; }
+  // Delivered, after a complete request: closing it now loses nothing that was read.
+  bool is_at_rest();
 
   // No sooner than this can what was read last have arrived.
   core::Millis earliest_arrival() const { return earliest_arrival_; }
--- a/src/resp/client_table.cpp
+++ b/src/resp/client_table.cpp
@@ -22,9 +22,20 @@
   return metrics::kRespUnreadClosed;
 }
 
-// A request that has arrived and was not read yet would be lost with its connection.
+bool has_no_unread_input(const std::shared_ptr<ClientConnection>& client) {
+  return client->peer_state() != net::PeerState::readable;
+}
+
+// A request that has arrived and was not read yet, and a response on its way, would be lost with the
+// connection.
 bool is_evictable(const std::shared_ptr<ClientConnection>& client) {
-  return client->is_idle() && client->peer_state() != net::PeerState::readable;
+  return client->is_delivered() && has_no_unread_input(client);
+}
+
+// Without this, clients that never read their responses would keep all places.
+bool is_evictable_as_stalled(const std::shared_ptr<ClientConnection>& client) {
+  const bool stalled = client->delivery() == ClientConnection::Delivery::stalled;
+  return stalled && client->is_idle() && has_no_unread_input(client);
 }
 
 bool is_evictable_at_rest(const std::shared_ptr<ClientConnection>& client) {
@@ -80,6 +91,8 @@
   auto found = std::find_if(candidates.begin(), end, is_evictable_at_rest);
   if (found == end)
     found = std::find_if(candidates.begin(), end, is_evictable);
+  if (found == end)
+    found = std::find_if(candidates.begin(), end, is_evictable_as_stalled);
   if (found == end)
     return false;
   evict(*found, EvictionReason::idle);
@@ -136,10 +149,11 @@
   return std::all_of(lists_.begin(), lists_.end(), [](const ClientList& clients) { return clients.empty(); });
 }
 
-bool ClientTable::all_written() const {
+bool ClientTable::all_delivered() const {
   const ClientList& established = list(ClientStage::established);
-  return std::all_of(established.begin(), established.end(),
-                     [](const auto& client) { return client->send_queue().empty(); });
+  return std::none_of(established.begin(), established.end(), [](const auto& client) {
+    return client->delivery() == ClientConnection::Delivery::pending;
+  });
 }
 
 std::vector<std::shared_ptr<ClientConnection>> ClientTable::connections(ClientStage stage) const {
--- a/src/resp/client_table.h
+++ b/src/resp/client_table.h
@@ -42,7 +42,8 @@
   void evict_until_free(std::size_t bytes);
 
   bool empty() const;
-  bool all_written() const;  // no response waits to be written
+  // Clients have received all responses, except those that seem to read no more.
+  bool all_delivered() const;
   // The connections of a stage, at the time of the call.
   std::vector<std::shared_ptr<ClientConnection>> connections(ClientStage stage) const;
 
--- a/src/resp/front_end.h
+++ b/src/resp/front_end.h
@@ -53,7 +53,8 @@
   bool drain_sockets();
 
   std::size_t open_calls() const { return open_calls_.size(); }
-  bool written() const { return clients_.all_written(); }  // no response waits to be written
+  // Clients have received all responses, except those that seem to read no more.
+  bool all_delivered() const { return clients_.all_delivered(); }
 
   void answer(core::CallId call, core::Answer&& answer) override;
   ClientState client_state(core::CallId call, core::Millis read_since) override;
--- a/tests/app/graceful_shutdown_test.cpp
+++ b/tests/app/graceful_shutdown_test.cpp
@@ -108,7 +108,7 @@
 TEST_CASE("nothing may be open at the exit: calls, answers, deliveries, admin requests") {
   ShutdownFacts facts;
   SECTION("a call") { facts.calls_open = true; }
-  SECTION("an answer") { facts.answers_unwritten = true; }
+  SECTION("an answer") { facts.answers_undelivered = true; }
   SECTION("a delivery") { facts.triggers_pending = true; }
   SECTION("a request to the admin endpoint") { facts.admin_requests_pending = true; }
   GracefulShutdown alone = begin_shutdown(ListenerOwnership::own);
@@ -143,7 +143,7 @@
   CHECK(shutdown.next({}) == Command::answer_open_calls);
   CHECK(shutdown.next({}) == Command::read_client_input);
   ShutdownFacts unwritten;
-  unwritten.answers_unwritten = true;
+  unwritten.answers_undelivered = true;
   CHECK(shutdown.next(unwritten) == Command::wait);
 }
 
--- a/tests/support/system_call_faults.cpp
+++ b/tests/support/system_call_faults.cpp
@@ -1,6 +1,8 @@
 #include "support/system_call_faults.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -106,5 +108,9 @@
 ssize_t send(int fd, const void* bytes, std::size_t size, int flags) {
   return test::fails(SystemCall::send) ? -1 : ::send(fd, bytes, test::transfer(size), flags);
 }
+int unacknowledged_bytes(int fd) {
+  int bytes = 0;
+  return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
 
 }  // namespace lotusyard::net::system_calls
