The kernel is offered a client's answers before the client is judged not to read

Cause: write_answer and evict_until_free judged a client by its send queue before the kernel had been offered a byte. resp.unread_closed counts it, and the tests show it.

Change: both flush the client first and judge by what is left.

Seen failing first, with the two files as before: "long answers that are ready in one iteration do not cut off a client that reads" and "… for the answer of another" (resp.unread_closed 1, a call gone).

Ruled out: a larger bound (a hand-over at 16 MB has 512 KB for all clients). A burst that neither kernel nor pool takes still ends a client: docs/incidents.

--- a/src/resp/client_table.cpp
+++ b/src/resp/client_table.cpp
@@ -131,6 +131,11 @@
         });
     if (largest == established.end() || (*largest)->unwritten_bytes() < net::BufferPool::kBlockSize)
       return;
+    // The kernel is offered the bytes first: until then nothing shows whether the client reads.
+    const std::uint64_t unwritten = (*largest)->unwritten_bytes();
+    (*largest)->flush_now();
+    if ((*largest)->unwritten_bytes() < unwritten)
+      continue;
     evict(*largest, EvictionReason::unread_responses);
   }
 }
--- a/src/resp/response_writer.cpp
+++ b/src/resp/response_writer.cpp
@@ -43,7 +43,10 @@
   const std::string response = encode_answer(tag, answer);
   clients_.evict_until_free(response.size());
   client.write(response);
-  // Bounds the buffers of the pool that a client which does not read can occupy.
+  // Bounds the buffers of the pool that a client which does not read can occupy. The kernel is offered the
+  // bytes first: until then nothing shows whether the client reads.
+  if (client.unwritten_bytes() > limits_.unread_bytes)
+    client.flush_now();
   if (client.unwritten_bytes() <= limits_.unread_bytes)
     return;
   counters_.add(metrics::kRespUnreadClosed);
--- a/tests/resp/slow_delivery_test.cpp
+++ b/tests/resp/slow_delivery_test.cpp
@@ -157,6 +157,54 @@
   }
 }
 
+core::Answer answer_of(std::size_t bytes) {
+  core::Answer answer;
+  answer.status = core::CallStatus::succeeded;
+  answer.body = std::string(bytes, 'x');
+  return answer;
+}
+
+// Sends the calls 1 to `calls` and waits until a host has them; they are answered by answer_of().
+void open_calls(RespFixture& service, RawClient& client, int first, int calls) {
+  service.invoker.host[0]->handler = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  const int execs = service.invoker.host[0]->execs + calls;
+  for (int tag = first; tag < first + calls; ++tag)
+    client.send(call_bytes(tag));
+  REQUIRE(service.invoker.run_until([&] { return service.invoker.host[0]->execs == execs; }, 5000));
+}
+
+// Guards against: a client that reads at once is taken for one that does not, because two long answers to it
+// are ready in one iteration and were not offered to the kernel before they were counted as unread.
+TEST_CASE("long answers that are ready in one iteration do not cut off a client that reads") {
+  resp::FrontEnd::Limits limits;
+  limits.unread_bytes = 256U << 10;
+  RespFixture service(1, limits);
+  RawClient client(service);
+  open_calls(service, client, 1, 3);
+  for (core::CallId id = 1; id <= 2; ++id)
+    service.front_end.answer(id, answer_of(150000));
+  run_iterations(service);
+  CHECK(service.invoker.counters.value("resp.unread_closed") == 0);
+  CHECK(service.front_end.open_calls() == 1);
+}
+
+// Guards against: the same where the answers of others need the buffers.
+TEST_CASE("long answers that are ready in one iteration do not cut off a client for the answer of another") {
+  constexpr std::size_t kPoolBlocks = 24;
+  RespFixture service(1);
+  RawClient first(service), second(service);
+  open_calls(service, first, 1, 3);
+  open_calls(service, second, 4, 1);
+  service.invoker.pool.set_max_blocks(kPoolBlocks);
+  const std::size_t answer_bytes = kPoolBlocks * net::BufferPool::kBlockSize / 5 * 2;
+  service.front_end.answer(1, answer_of(answer_bytes));
+  service.front_end.answer(2, answer_of(answer_bytes));
+  service.front_end.answer(4, answer_of(answer_bytes));
+  run_iterations(service);
+  CHECK(service.invoker.counters.value("resp.unread_closed") == 0);
+  CHECK(service.front_end.open_calls() == 1);
+}
+
 // Guards against: clients that never read keep a connection, or a process that is to end, for ever.
 TEST_CASE(
     "a delivery without progress for two seconds counts as stalled, and any progress starts that time anew") {
