Idempotency keys that clients repeat have a share of the memory

Callers would have seen: clients of a keyed class that call each key 16 times take a process over its memory limit; the platform kills it and all open calls are lost.

Cause: IdempotencyKeys bounded the keys (8,192) and the attempts of each (16), not their sum, whatever memory_mb is; the queue of expirations held the key's name once for each end of a call, without a bound.

Evidence: nothing showed the size, so keys.known and keys.bytes were added.

Change: shares_of gives the keys a share; each record counts its name and the room for its attempts. Past seven eighths new keys are refused, past all of it known ones too; no record is dropped before its time. The queue of expirations holds each key without open calls once.

"a key that is called again…" guards the queue that was rewritten and holds before as well.

Ruled out: dropping records early (a key would count as new while hosts still recognise it); reserving all 16 attempts of each key (960 keys in 1.25 MB, fewer than two windows of usual keyed calls).

--- a/include/lotusyard/policy/settings.h
+++ b/include/lotusyard/policy/settings.h
@@ -135,7 +135,8 @@
   LoadReportSettings load_reports;
   EndpointListSettings endpoint_list;
   CostSettings costs;
-  std::uint64_t function_table_bytes = 0;  // bound of the memory of the records of functions; 0: none
+  std::uint64_t function_table_bytes = 0;   // bound of the memory of the records of functions; 0: none
+  std::uint64_t idempotency_key_bytes = 0;  // bound of the memory of idempotency keys; 0: none
   std::uint64_t seed = 0;
 };
 
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -46,8 +46,8 @@
       pool_(block_count(resource_shares())),
       host_connections_(loop_, pool_, counters_, host_limits(config(), resource_shares())),
       dispatcher_(
-          policy_settings(config(), resource_shares()), [this] { return loop_.now(); }, host_connections_,
-          counters_),
+          policy_settings(config().settings, resource_shares()), [this] { return loop_.now(); },
+          host_connections_, counters_),
       disabled_host_files_(state_folder_),
       endpoint_states_(
           [this](const core::HostListUpdate& list, core::ListKind kind) { update_endpoints(list, kind); },
@@ -145,9 +145,7 @@
   pool_.set_max_blocks(block_count(shares));
   host_connections_.set_limits(host_limits(config(), shares));
   front_.set_limits(client_limits(shares));
-  core::Settings settings = dispatcher_.settings();
-  settings.function_table_bytes = shares.functions;
-  dispatcher_.apply_settings(settings);
+  dispatcher_.apply_settings(policy_settings(dispatcher_.settings(), shares));
   counters_.add(metrics::kTakeoverChanges);
 }
 
@@ -180,7 +178,7 @@
   }
   host_connections_.set_limits(host_limits(config(), resource_shares()));
   host_connections_.readiness_monitor().set_terms(readiness_terms());
-  dispatcher_.apply_settings(policy_settings(config(), resource_shares()));
+  dispatcher_.apply_settings(policy_settings(config().settings, resource_shares()));
   if (triggers_)
     triggers_->apply_settings(config().settings);
 }
--- a/src/app/invoker_readiness.cpp
+++ b/src/app/invoker_readiness.cpp
@@ -74,6 +74,8 @@
   counters_.set(metrics::kFunctionsKnown, functions.functions);
   counters_.set(metrics::kFunctionsBytes, functions.bytes);
   counters_.set(metrics::kFunctionsEvicted, functions.evicted);
+  counters_.set(metrics::kKeysKnown, dispatcher_.idempotency_keys().size());
+  counters_.set(metrics::kKeysBytes, dispatcher_.idempotency_keys().bytes());
   counters_.set(metrics::kHostsEndedRefs, host_connections_.ended_refs());
   counters_.print(std::cout);
   monitor.print_withheld(std::cout, kMaxPrintedHosts);
--- a/src/app/resource_limits.cpp
+++ b/src/app/resource_limits.cpp
@@ -71,9 +71,9 @@
   return limits;
 }
 
-core::Settings policy_settings(const config::Config& config, const hot_restart::ResourceShares& shares) {
-  core::Settings settings = config.settings;
+core::Settings policy_settings(core::Settings settings, const hot_restart::ResourceShares& shares) {
   settings.function_table_bytes = shares.functions;
+  settings.idempotency_key_bytes = shares.idempotency_keys;
   return settings;
 }
 
--- a/src/app/resource_limits.h
+++ b/src/app/resource_limits.h
@@ -12,8 +12,8 @@
 // The limits on connections to hosts and on the answers received over them.
 hosts::Limits host_limits(const config::Config& config, const hot_restart::ResourceShares& shares);
 
-// The settings of the dispatcher and its policy.
-core::Settings policy_settings(const config::Config& config, const hot_restart::ResourceShares& shares);
+// The settings with the limits on the tables of the dispatcher and its policy.
+core::Settings policy_settings(core::Settings settings, const hot_restart::ResourceShares& shares);
 
 // The limits on clients.
 resp::FrontEnd::Limits client_limits(const hot_restart::ResourceShares& shares);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -41,7 +41,9 @@
       policy_(settings, clock_(), [this](const Step& step) { step_executor_.execute(step); }),
       completion_(clock_, calls_, refs_, keys_, hosts, policy_, counters),
       step_executor_(clock_,
-                     {calls_, keys_, host_locations_, deadlines_, hosts, policy_, completion_, counters}) {}
+                     {calls_, keys_, host_locations_, deadlines_, hosts, policy_, completion_, counters}) {
+  keys_.set_max_bytes(settings.idempotency_key_bytes);
+}
 
 std::optional<RejectionReason> Dispatcher::admit(CallId id, Call&& call, FrontEnd& front_end) {
   if (const auto reason = check_admission(call)) {
@@ -138,6 +140,7 @@
 void Dispatcher::apply_settings(const Settings& settings) {
   settings_ = std::make_shared<const Settings>(settings);
   refs_.apply_settings(settings);
+  keys_.set_max_bytes(settings.idempotency_key_bytes);
   policy_.report(clock_(), NewSettings{settings});
 }
 
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -82,6 +82,7 @@
   // When tick() is due; infinite if nothing is.
   Millis next_deadline() const;
   std::size_t open_calls() const { return calls_.size(); }
+  const IdempotencyKeys& idempotency_keys() const { return keys_; }
   // The memory of functions that clients have called, whether or not they exist.
   policy::FunctionTableSize function_table_size() const { return policy_.function_table_size(); }
 
--- a/src/core/idempotency_keys.cpp
+++ b/src/core/idempotency_keys.cpp
@@ -7,6 +7,11 @@
 namespace lotusyard::core {
 namespace {
 
+// Past this part of the memory new keys are refused: the rest is left to the clients' retries of known ones.
+constexpr double kFractionForNewKeys = 0.875;
+// Of a key: the nodes of both containers and the allocator's headers.
+constexpr std::size_t kOverheadBytes = 160;
+
 std::uint64_t body_hash(const Call& call) { return std::hash<std::string>()(call.body); }
 
 // Commas and equals signs separate the fields of a line to a host.
@@ -32,36 +37,59 @@
 
 IdempotencyKeys::KeyDecision IdempotencyKeys::begin(const Call& call, const KeyRule& rule, Millis now) {
   expire(now);
-  Record* record = find(call);
-  return record == nullptr ? begin_new_key(call, rule, now) : begin_known_key(*record, call, rule, now);
+  Entry* entry = find(call);
+  return entry == nullptr ? begin_new_key(call, rule, now) : begin_known_key(*entry, call, rule, now);
 }
 
 IdempotencyKeys::KeyDecision IdempotencyKeys::begin_new_key(const Call& call, const KeyRule& rule,
                                                             Millis now) {
-  if (records_.size() >= kMaxKeys)
+  if (records_.size() >= kMaxKeys || is_filled(kFractionForNewKeys))
     return KeyDecision::full;
   const auto since = may_have_run_since(call, rule, now);
   if (since && now - *since >= rule.window)
     return KeyDecision::window_over;
-  Record& record = records_[record_name(call)];
-  record.function = call.function;
-  record.body_hash = body_hash(call);
-  record.open_calls = 1;
-  record.may_have_run_since = since;
+  Entry& entry = *records_.emplace(record_name(call), Record()).first;
+  entry.second.function = call.function;
+  entry.second.body_hash = body_hash(call);
+  entry.second.may_have_run_since = since;
+  bytes_ += bytes_of(entry);
+  open_call(entry);
   return KeyDecision::accepted;
 }
 
-IdempotencyKeys::KeyDecision IdempotencyKeys::begin_known_key(Record& record, const Call& call,
+IdempotencyKeys::KeyDecision IdempotencyKeys::begin_known_key(Entry& entry, const Call& call,
                                                               const KeyRule& rule, Millis now) {
+  const Record& record = entry.second;
   if (record.function != call.function || record.body_hash != body_hash(call))
     return KeyDecision::other_request;
   const auto since = first_send(record);
   if (since && now - *since >= rule.window)
     return KeyDecision::window_over;
-  ++record.open_calls;
+  if (is_filled(1))
+    return KeyDecision::full;
+  open_call(entry);
   return KeyDecision::accepted;
 }
 
+void IdempotencyKeys::open_call(Entry& entry) {
+  Record& record = entry.second;
+  ++record.open_calls;
+  if (record.expiration)
+    expirations_.erase(*std::exchange(record.expiration, std::nullopt));
+  bytes_ -= bytes_of(entry);
+  record.sent.reserve(std::min(record.sent.size() + 1, kMaxSendsPerKey));
+  bytes_ += bytes_of(entry);
+}
+
+bool IdempotencyKeys::is_filled(double fraction) const {
+  return max_bytes_ > 0 && static_cast<double>(bytes_) >= static_cast<double>(max_bytes_) * fraction;
+}
+
+std::size_t IdempotencyKeys::bytes_of(const Entry& entry) {
+  const std::size_t own = sizeof(Entry) + kOverheadBytes + entry.first.capacity();
+  return own + entry.second.sent.capacity() * sizeof(SentAttempt);
+}
+
 // After a restart, or if another invoker served it, this process has no record of the client's first attempt.
 // A client waits at most `hard_limit` over all of its retries, and the time-out of this call is the rest of
 // that.
@@ -73,49 +101,53 @@
 
 bool IdempotencyKeys::may_send_to(const Call& call, const KeyRule& rule, const HostLocation& location,
                                   Millis now) const {
-  const Record* record = find(call);
-  if (record == nullptr)
+  const Entry* entry = find(call);
+  if (entry == nullptr)
     return false;
-  const auto since = first_send(*record);
+  const Record& record = entry->second;
+  const auto since = first_send(record);
   if (!since)
     return true;
-  if (now - *since >= rule.window || record->sent.size() >= kMaxSendsPerKey)
+  if (now - *since >= rule.window || record.sent.size() >= kMaxSendsPerKey)
     return false;
   // It is not known to which host another invoker sent its attempt.
-  if (record->may_have_run_since && rule.scope != policy::KeyScope::all)
+  if (record.may_have_run_since && rule.scope != policy::KeyScope::all)
     return false;
-  return std::all_of(record->sent.begin(), record->sent.end(), [&](const SentAttempt& sent) {
+  return std::all_of(record.sent.begin(), record.sent.end(), [&](const SentAttempt& sent) {
     return shares_keys(rule.scope, sent.location, location);
   });
 }
 
 void IdempotencyKeys::record_send(const Call& call, const Attempt& attempt, const HostLocation& location,
                                   Millis now) {
-  if (Record* record = find(call))
-    record->sent.push_back({attempt, location, now});
+  Entry* entry = find(call);
+  if (entry == nullptr)
+    return;
+  bytes_ -= bytes_of(*entry);
+  entry->second.sent.push_back({attempt, location, now});
+  bytes_ += bytes_of(*entry);
 }
 
 void IdempotencyKeys::record_not_run(const Call& call, const Attempt& attempt) {
-  Record* record = find(call);
-  if (record == nullptr)
+  Entry* entry = find(call);
+  if (entry == nullptr)
     return;
-  auto& sent = record->sent;
+  auto& sent = entry->second.sent;
   const auto is_same = [&](const SentAttempt& other) { return other.attempt == attempt; };
   sent.erase(std::remove_if(sent.begin(), sent.end(), is_same), sent.end());
 }
 
 void IdempotencyKeys::end(const Call& call, const KeyRule& rule, Millis now) {
-  Record* record = find(call);
-  if (record == nullptr || --record->open_calls > 0)
+  Entry* entry = find(call);
+  if (entry == nullptr || --entry->second.open_calls > 0)
     return;
   // Each host recognises the key for one window after it has run an attempt. If the record were dropped
   // earlier, the key would count as new while some hosts still recognise it and others no longer do.
-  const Millis until = last_send(*record) + rule.window * 2;
-  if (!first_send(*record) || until <= now) {
-    records_.erase(record_name(call));
-  } else if (std::exchange(record->retained_until, until) != until) {
-    expirations_.push_back({until, record_name(call)});
-  }
+  const Millis until = last_send(entry->second) + rule.window * 2;
+  if (!first_send(entry->second) || until <= now)
+    erase(*entry);
+  else
+    entry->second.expiration = expirations_.emplace(until, entry);
 }
 
 std::optional<Millis> IdempotencyKeys::first_send(const Record& record) {
@@ -132,23 +164,27 @@
   return last;
 }
 
-IdempotencyKeys::Record* IdempotencyKeys::find(const Call& call) {
+IdempotencyKeys::Entry* IdempotencyKeys::find(const Call& call) {
   const auto found = records_.find(record_name(call));
-  return found == records_.end() ? nullptr : &found->second;
+  return found == records_.end() ? nullptr : &*found;
 }
 
-const IdempotencyKeys::Record* IdempotencyKeys::find(const Call& call) const {
+const IdempotencyKeys::Entry* IdempotencyKeys::find(const Call& call) const {
   const auto found = records_.find(record_name(call));
-  return found == records_.end() ? nullptr : &found->second;
+  return found == records_.end() ? nullptr : &*found;
+}
+
+void IdempotencyKeys::erase(const Entry& entry) {
+  bytes_ -= bytes_of(entry);
+  records_.erase(records_.find(entry.first));
 }
 
 // Records are removed only here, and in end() if there is nothing to retain.
 void IdempotencyKeys::expire(Millis now) {
-  while (!expirations_.empty() && expirations_.front().due <= now) {
-    const auto found = records_.find(expirations_.front().record_name);
-    if (found != records_.end() && found->second.open_calls == 0 && found->second.retained_until <= now)
-      records_.erase(found);
-    expirations_.pop_front();
+  while (!expirations_.empty() && expirations_.begin()->first <= now) {
+    const Entry& expired = *expirations_.begin()->second;
+    expirations_.erase(expirations_.begin());
+    erase(expired);
   }
 }
 
--- a/src/core/idempotency_keys.h
+++ b/src/core/idempotency_keys.h
@@ -4,10 +4,11 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/attempt.h"
@@ -30,7 +31,8 @@
 }
 
 // Records for each key when and where attempts that may have run were sent. Equal keys of different classes
-// are separate. No I/O; the clock is passed in.
+// are separate. A record that hosts may still need is never dropped; past a limit on the memory, calls are
+// not accepted. No I/O; the clock is passed in.
 class IdempotencyKeys {
  public:
   static constexpr std::size_t kMaxKeys = 8192;  // bounds the memory
@@ -43,7 +45,7 @@
 
   // other_request: the key belongs to another function or body; hosts would take this call for its repeat.
   // window_over: an attempt with the key may have run so long ago that hosts do not recognise it any more.
-  // full: no more keys can be tracked.
+  // full: no more can be tracked.
   enum class KeyDecision { accepted, other_request, window_over, full };
   // Begins a call with a key. Several calls with the same key may be open; each has attempts of its own, and
   // hosts recognise the repeats. If the call is accepted, end() must follow.
@@ -57,8 +59,16 @@
   void end(const Call& call, const KeyRule& rule, Millis now);
   // The number of keys that are tracked.
   std::size_t size() const { return records_.size(); }
+  // The memory of the records, estimated.
+  std::size_t bytes() const { return bytes_; }
+  // 0: not limited. Calls that were begun may exceed it by what their further attempts need.
+  void set_max_bytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
 
  private:
+  struct Record;
+  using Entry = std::pair<const std::string, Record>;  // of Records; entries do not move
+  using ExpirationQueue =
+      std::multimap<Millis, Entry*>;  // by the time at which hosts recognise the key no more
   struct SentAttempt {
     Attempt attempt;
     HostLocation location;
@@ -70,25 +80,30 @@
     int open_calls = 0;
     std::vector<SentAttempt> sent;             // those that may have run
     std::optional<Millis> may_have_run_since;  // the earliest time at which another invoker may have run one
-    Millis retained_until{0};                  // once no call is open
-  };
-  struct Expiration {
-    Millis due{0};
-    std::string record_name;
+    std::optional<ExpirationQueue::iterator> expiration;  // if no call is open
   };
+  using Records = std::unordered_map<std::string, Record>;  // by record_name()
 
   static std::string record_name(const Call& call) { return call.class_name + '\n' + call.key; }
   static std::optional<Millis> first_send(const Record& record);
   static Millis last_send(const Record& record);
   static std::optional<Millis> may_have_run_since(const Call& call, const KeyRule& rule, Millis now);
+  static std::size_t bytes_of(const Entry& entry);
   KeyDecision begin_new_key(const Call& call, const KeyRule& rule, Millis now);
-  static KeyDecision begin_known_key(Record& record, const Call& call, const KeyRule& rule, Millis now);
-  Record* find(const Call& call);
-  const Record* find(const Call& call) const;
+  KeyDecision begin_known_key(Entry& entry, const Call& call, const KeyRule& rule, Millis now);
+  // Counts a call of the key as open, with memory for an attempt.
+  void open_call(Entry& entry);
+  // Whether the records take up more than this fraction of their memory.
+  bool is_filled(double fraction) const;
+  Entry* find(const Call& call);
+  const Entry* find(const Call& call) const;
+  void erase(const Entry& entry);
   void expire(Millis now);
 
-  std::unordered_map<std::string, Record> records_;  // by record_name()
-  std::deque<Expiration> expirations_;               // nearly in order of `due`
+  Records records_;
+  ExpirationQueue expirations_;
+  std::size_t bytes_ = 0;
+  std::size_t max_bytes_ = 0;
 };
 
 }  // namespace lotusyard::core
--- a/src/hot_restart/shares.cpp
+++ b/src/hot_restart/shares.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kMinFunctionBytes = 1U << 20;    // over a thousand functions
 constexpr std::size_t kMinEndedRefBytes = 512U << 10;  // 10 s of 300 calls a second
 
+constexpr std::size_t kMinIdempotencyKeyBytes = 1U << 20;  // over two thousand keys
+
 constexpr std::size_t kSocketsPerAdminConnection = 64;
 constexpr std::size_t kMinAdminConnections = 4;
 constexpr std::size_t kMaxAdminConnections = 16;
@@ -45,6 +47,7 @@
   shares.unwritten = shares.bodies = shares.incoming = std::max(quarter, kMinBufferBytes);
   shares.functions = std::max(quarter / 2, kMinFunctionBytes);
   shares.ended_refs = std::max(quarter / 4, kMinEndedRefBytes);
+  shares.idempotency_keys = std::max(quarter / 4, kMinIdempotencyKeyBytes);
   shares.admin_connections = admin_connection_limit(sockets);
   const std::size_t free = subtract_or_zero(process_sockets, kOwnDescriptors + shares.admin_connections);
   // The clients of one process get at most a third of the limit of both. The rest is divided between
--- a/src/hot_restart/shares.h
+++ b/src/hot_restart/shares.h
@@ -18,15 +18,18 @@
   std::size_t new_connections = 0;  // connections that have not
   std::size_t host_connections = 0;
   std::size_t admin_connections = 0;
-  std::size_t unwritten = 0;   // bytes that wait to be sent
-  std::size_t bodies = 0;      // bytes of open calls
-  std::size_t incoming = 0;    // bytes of responses that are incomplete
-  std::size_t functions = 0;   // bytes of what is known of the functions that clients have called
-  std::size_t ended_refs = 0;  // bytes of the refs of attempts that have ended
+  std::size_t unwritten = 0;         // bytes that wait to be sent
+  std::size_t bodies = 0;            // bytes of open calls
+  std::size_t incoming = 0;          // bytes of responses that are incomplete
+  std::size_t functions = 0;         // bytes of what is known of the functions that clients have called
+  std::size_t ended_refs = 0;        // bytes of the refs of attempts that have ended
+  std::size_t idempotency_keys = 0;  // bytes of the keys that hosts may still recognise
 
   // All descriptors of the process, its own included.
   std::size_t descriptors() const;
-  std::size_t bytes() const { return unwritten + bodies + incoming + functions + ended_refs; }
+  std::size_t bytes() const {
+    return unwritten + bodies + incoming + functions + ended_refs + idempotency_keys;
+  }
 };
 
 // The smallest limits with which an invoker works.
--- a/src/metrics/call_counters.h
+++ b/src/metrics/call_counters.h
@@ -53,6 +53,8 @@
 inline constexpr Counter kFunctionsBytes{"functions.bytes", "bytes of that table, when it is printed"};
 inline constexpr Counter kFunctionsEvicted{
     "functions.evicted", "functions that were dropped because that table was full; 0 when all is well"};
+inline constexpr Counter kKeysKnown{"keys.known", "idempotency keys that are remembered, when it is printed"};
+inline constexpr Counter kKeysBytes{"keys.bytes", "bytes of those keys, when it is printed"};
 inline constexpr Counter kConfigReread{"config.reread",
                                        "configurations that SIGHUP had read and that were applied"};
 inline constexpr Counter kConfigFaulty{"config.faulty",
--- a/tests/core/idempotency_keys_test.cpp
+++ b/tests/core/idempotency_keys_test.cpp
@@ -122,5 +122,65 @@
   CHECK_FALSE(keys.may_send_to(same, rule(), {}, Millis(10000)));
 }
 
+// Sends an attempt of a call with the key that may have run, and ends the call.
+KeyDecision call_once(IdempotencyKeys& keys, const std::string& key, std::uint64_t id, Millis now) {
+  const auto call = call_with_key(key);
+  const KeyDecision decision = keys.begin(call, rule(), now);
+  if (decision != KeyDecision::accepted)
+    return decision;
+  keys.record_send(call, {id, 0}, {}, now);
+  keys.end(call, rule(), now);
+  return decision;
+}
+
+// Guards against: clients that call with ever new keys, or repeat each, use up the memory of the process.
+TEST_CASE("the keys and the attempts of all calls together stay within their share of the memory") {
+  constexpr std::size_t kMaxBytes = 256U << 10;
+  constexpr std::size_t kBytesOfOneAttempt = 256;
+  for (const std::size_t calls_per_key : {std::size_t{1}, IdempotencyKeys::kMaxSendsPerKey}) {
+    IdempotencyKeys keys;
+    keys.set_max_bytes(kMaxBytes);
+    std::uint64_t id = 0;
+    bool was_full = false;
+    for (std::size_t key = 0; key < IdempotencyKeys::kMaxKeys; ++key) {
+      for (std::size_t i = 0; i < calls_per_key; ++i)
+        was_full |= call_once(keys, std::string(100, 'k') + std::to_string(key), ++id, Millis(0)) ==
+                    KeyDecision::full;
+      REQUIRE(keys.bytes() <= kMaxBytes + kBytesOfOneAttempt);
+    }
+    CHECK(was_full);
+    CHECK(keys.size() > 100);
+    // The memory is free again once hosts do not recognise the keys any more.
+    CHECK(call_once(keys, "later", ++id, Millis(10000)) == KeyDecision::accepted);
+    CHECK(keys.size() == 1);
+    CHECK(keys.bytes() < 1000);
+  }
+}
+
+// Guards against: a crowd of new keys takes the room that clients need for their retries.
+TEST_CASE("retries with a known key are accepted when the memory for new keys is used up") {
+  IdempotencyKeys keys;
+  keys.set_max_bytes(64U << 10);
+  std::uint64_t id = 0;
+  REQUIRE(call_once(keys, "known", ++id, Millis(0)) == KeyDecision::accepted);
+  while (call_once(keys, std::to_string(id), id + 1, Millis(0)) == KeyDecision::accepted)
+    ++id;
+  CHECK(call_once(keys, "new", ++id, Millis(1)) == KeyDecision::full);
+  CHECK(call_once(keys, "known", ++id, Millis(1)) == KeyDecision::accepted);
+}
+
+// Guards against: the memory of a key that is called again is freed, and the key taken for a new one, early.
+TEST_CASE("a key that is called again is retained from its latest attempt on") {
+  IdempotencyKeys keys;
+  REQUIRE(call_once(keys, "k", 1, Millis(0)) == KeyDecision::accepted);
+  const auto call = call_with_key("k");
+  REQUIRE(keys.begin(call, rule(), Millis(4000)) == KeyDecision::accepted);
+  keys.record_send(call, {2, 0}, {}, Millis(4000));
+  CHECK(call_once(keys, "other", 3, Millis(11000)) == KeyDecision::accepted);  // 2 windows after the first
+  keys.end(call, rule(), Millis(11000));
+  CHECK(keys.begin(call, rule(), Millis(13999)) == KeyDecision::window_over);
+  CHECK(keys.begin(call, rule(), Millis(14000)) == KeyDecision::accepted);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
