New connections use the places that clients do not need

Cause: ClientTable allowed 28 connections without a request (256 descriptors, two processes) and closed the one unheard longest after one look, though nearly all of the 55 places of clients were free.

Change: a new connection ends only if its own share is used up and both limits together are reached; a connection keeps its place when its first request comes, so the sum holds. When limits shrink, new connections over the sum end, or they would keep a second process's descriptors.

Ruled out: refusing the waiting calls of the old process in parts (it leaves the close unread); a larger share (28 stays what clients cannot take).

--- a/src/metrics/client_counters.h
+++ b/src/metrics/client_counters.h
@@ -38,7 +38,7 @@
 inline constexpr Counter kRespNoRequest{"resp.no_request",
                                         "connections closed because no request came in time"};
 inline constexpr Counter kRespSilentClosed{"resp.silent_closed",
-                                           "new connections closed because too many had sent no request"};
+                                           "new connections closed unread because no place was left"};
 inline constexpr Counter kRespUnreadClosed{"resp.unread_closed",
                                            "connections closed because the client did not read its answers"};
 inline constexpr Counter kConsoleCalls{"console.calls", "requests to the admin endpoint"};
--- a/src/resp/client_table.cpp
+++ b/src/resp/client_table.cpp
@@ -99,11 +99,25 @@
   return true;
 }
 
+// New connections may use the places that no established client needs. When a request arrives, a connection
+// keeps its place, so that the sum of both limits holds.
+bool ClientTable::has_place_for_new_connections() const {
+  const std::size_t new_connections = new_connection_count();
+  const std::size_t all = new_connections + list(ClientStage::established).size();
+  return new_connections <= limits_.new_connections || all <= limits_.new_connections + limits_.clients;
+}
+
+std::size_t ClientTable::new_connection_count() const {
+  return list(ClientStage::no_request).size() + list(ClientStage::partial_request).size();
+}
+
 void ClientTable::limit_new_connections() {
-  const std::size_t new_connections =
-      list(ClientStage::no_request).size() + list(ClientStage::partial_request).size();
-  if (new_connections <= limits_.new_connections)
-    return;
+  const std::size_t attempts = new_connection_count();
+  for (std::size_t i = 0; i < attempts && !has_place_for_new_connections(); ++i)
+    evict_new_connection();
+}
+
+void ClientTable::evict_new_connection() {
   const std::shared_ptr<ClientConnection> client = new_connection_to_evict();
   client->ready(POLLIN);
   if (!client->has_sent_request() && !client->is_closing())
--- a/src/resp/client_table.h
+++ b/src/resp/client_table.h
@@ -20,7 +20,7 @@
 };
 
 // Owns the connections, in one list for each stage, least recently active first. The limits belong to the
-// caller and may change; connections are not closed for that alone.
+// caller and may change; established connections are not closed for that alone.
 class ClientTable {
  public:
   ClientTable(net::BufferPool& pool, metrics::Counters& counters, const ClientLimits& limits)
@@ -29,6 +29,8 @@
   // Adds a new connection. If too many have sent no request then, one of them is evicted, unless its request
   // is found to have arrived.
   void add(std::shared_ptr<ClientConnection> client);
+  // Evicts new connections that the limits have no place for any more.
+  void limit_new_connections();
   // Removes a connection that was closed. The caller keeps the object alive as long as it is in use.
   void remove(ClientConnection& client);
 
@@ -51,7 +53,9 @@
   ClientList& list(ClientStage stage) { return lists_[static_cast<std::size_t>(stage)]; }
   const ClientList& list(ClientStage stage) const { return lists_[static_cast<std::size_t>(stage)]; }
   void move_to(ClientConnection& client, ClientStage stage);
-  void limit_new_connections();
+  std::size_t new_connection_count() const;
+  bool has_place_for_new_connections() const;
+  void evict_new_connection();
   const std::shared_ptr<ClientConnection>& new_connection_to_evict() const;
   bool evict_idle_client(ClientList::const_iterator end);
   void evict(const std::shared_ptr<ClientConnection>& client, EvictionReason reason);
--- a/src/resp/front_end.cpp
+++ b/src/resp/front_end.cpp
@@ -38,6 +38,11 @@
         on_accepted(std::move(socket), connected_since);
       }) {}
 
+void FrontEnd::set_limits(const Limits& limits) {
+  limits_ = limits;
+  clients_.limit_new_connections();
+}
+
 void FrontEnd::stop_admitting() {
   // Calls that wait for a host for long would keep their connection from becoming idle.
   if (commands_.stop_admitting())
--- a/src/resp/front_end.h
+++ b/src/resp/front_end.h
@@ -35,7 +35,7 @@
   void listen(net::Socket listener) { listener_.listen_on_inherited(std::move(listener)); }
   bool listening() const { return listener_.is_listening(); }
   std::string address() const { return listener_.address(); }
-  void set_limits(const Limits& limits) { limits_ = limits; }
+  void set_limits(const Limits& limits);
 
   // CHECK is answered with DOWN from now on; calls are still admitted.
   void drain() { commands_.report_not_serving(); }
